--- /dev/null
+++ b/cmd/wigeontray-guard/main.go
@@ -0,0 +1,4 @@
+// Command wigeontray-guard runs beside one upstream.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/wire/codec_test.go
@@ -0,0 +1,43 @@
+package wire
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+)
+
+func TestFrameRoundTrip(t *testing.T) {
+	f := &Frame{Start: &Start{Ref: Ref{Member: "ayni", Key: "k", Task: 3}, Of: 5, Body: []byte("x")}}
+	b, err := Encode(f)
+	qt.Assert(t, err, qt.IsNil)
+	got, err := Decode(b)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.DeepEquals, f)
+}
+
+// During an upgrade a newer process sends fields that this one has never heard
+// of. If they failed the frame, every upgrade would cut the links of the fleet.
+func TestUnknownFieldsAreTolerated(t *testing.T) {
+	b, err := cbor.Marshal(map[int]any{6: map[int]any{1: 9, 2: 4, 99: "new"}, 77: []int{1}})
+	qt.Assert(t, err, qt.IsNil)
+	f, err := Decode(b)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, f.Load, qt.DeepEquals, &Load{Seq: 9, Running: 4})
+}
+
+// A hostile or broken peer can send any bytes. A panic would take down the
+// process with every request in flight.
+func FuzzDecode(f *testing.F) {
+	b, _ := Encode(&Frame{Hello: &Hello{Version: 1, Service: "ayni/reserva", Slots: 8}})
+	f.Add(b)
+	f.Add([]byte{0xbf, 0xff})
+	f.Add([]byte{0x9a, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if fr, err := Decode(b); err == nil {
+			if _, err := Encode(fr); err != nil {
+				t.Fatalf("decoded frame does not encode: %v", err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/link.go
@@ -0,0 +1,182 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// Timing and sizes of a link.
+const (
+	sendQueue    = 4096             // frames waiting for the socket
+	writeTimeout = 5 * time.Second  // one frame onto the socket
+	PingEvery    = 15 * time.Second // idle check of the peer
+	pingTimeout  = 5 * time.Second
+)
+
+// ErrSlowPeer reports a peer that does not read: its send queue is full. The
+// link is closed, since a frame left out would be a lost start or answer.
+var ErrSlowPeer = errors.New("peer does not read its link")
+
+// Link carries frames in both directions, in order. Send may be called from
+// many goroutines; Recv from one.
+type Link interface {
+	// Send queues f and returns at once. After an error the link is closed.
+	Send(f *Frame) error
+	// Recv waits for the next frame.
+	Recv(ctx context.Context) (*Frame, error)
+	// Close ends the link; the peer's Recv fails.
+	Close(reason string)
+	// Done is closed when the link has ended.
+	Done() <-chan struct{}
+}
+
+// Traffic counts what a link put on and took from the wire, in frames and in
+// bytes of payload.
+type Traffic struct {
+	FramesOut, BytesOut, FramesIn, BytesIn atomic.Int64
+}
+
+// socketLink is a Link over one WebSocket connection.
+type socketLink struct {
+	conn    *websocket.Conn
+	out     chan []byte
+	done    chan struct{}
+	once    sync.Once
+	traffic *Traffic
+}
+
+// NewLink wraps an established WebSocket connection. traffic may be nil.
+func NewLink(conn *websocket.Conn, traffic *Traffic) Link {
+	if traffic == nil {
+		traffic = new(Traffic)
+	}
+	conn.SetReadLimit(MaxFrame)
+	l := &socketLink{conn: conn, out: make(chan []byte, sendQueue), done: make(chan struct{}), traffic: traffic}
+	go l.write()
+	return l
+}
+
+func (l *socketLink) Done() <-chan struct{} { return l.done }
+
+func (l *socketLink) Send(f *Frame) error {
+	b, err := Encode(f)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-l.done:
+		return net.ErrClosed
+	default:
+	}
+	select {
+	case l.out <- b:
+		return nil
+	default:
+		l.Close("slow peer")
+		return ErrSlowPeer
+	}
+}
+
+func (l *socketLink) Recv(ctx context.Context) (*Frame, error) {
+	kind, b, err := l.conn.Read(ctx)
+	if err != nil {
+		l.Close("read failed")
+		return nil, fmt.Errorf("read link: %w", err)
+	}
+	if kind != websocket.MessageBinary {
+		l.Close("text frame")
+		return nil, errors.New("read link: text frame")
+	}
+	l.traffic.FramesIn.Add(1)
+	l.traffic.BytesIn.Add(int64(len(b)))
+	f, err := Decode(b)
+	if err != nil {
+		l.Close("malformed frame")
+		return nil, err
+	}
+	return f, nil
+}
+
+func (l *socketLink) Close(reason string) {
+	l.once.Do(func() {
+		close(l.done)
+		// The close handshake waits for the peer; a frozen peer must not hold
+		// the caller, so it runs aside and ends by the library's own timeout.
+		go func() { _ = l.conn.Close(websocket.StatusNormalClosure, reason) }()
+	})
+}
+
+// write moves queued frames to the socket and pings an idle peer. A peer that
+// was frozen or cut off answers no ping; without the check, its link would look
+// alive until TCP gives up many minutes later.
+func (l *socketLink) write() {
+	ping := time.NewTicker(PingEvery)
+	defer ping.Stop()
+	for {
+		select {
+		case b := <-l.out:
+			if err := l.put(b); err != nil {
+				l.Close("write failed")
+				return
+			}
+		case <-ping.C:
+			go l.ping()
+		case <-l.done:
+			return
+		}
+	}
+}
+
+func (l *socketLink) put(b []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	if err := l.conn.Write(ctx, websocket.MessageBinary, b); err != nil {
+		return fmt.Errorf("write link: %w", err)
+	}
+	l.traffic.FramesOut.Add(1)
+	l.traffic.BytesOut.Add(int64(len(b)))
+	return nil
+}
+
+func (l *socketLink) ping() {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	if err := l.conn.Ping(ctx); err != nil {
+		l.Close("no answer to ping")
+	}
+}
+
+// Paths of the inner protocol's endpoints at an entry.
+const (
+	GuardPath = "/inner/guard"
+	PeerPath  = "/inner/peer"
+)
+
+// Dial opens a link to url (ws:// or wss://).
+func Dial(ctx context.Context, url string, client *http.Client, traffic *Traffic) (Link, error) {
+	conn, _, err := websocket.Dial(ctx, url, &websocket.DialOptions{
+		HTTPClient:      client,
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", url, err)
+	}
+	return NewLink(conn, traffic), nil
+}
+
+// Accept upgrades an HTTP request to a link.
+func Accept(w http.ResponseWriter, r *http.Request, traffic *Traffic) (Link, error) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return nil, fmt.Errorf("accept link: %w", err)
+	}
+	return NewLink(conn, traffic), nil
+}
