--- /dev/null
+++ b/internal/telemetry/families.go
@@ -0,0 +1,194 @@
+package telemetry
+
+// Counter names a figure that only grows.
+type Counter uint8
+
+// Counters. Frames and bytes are those of the inner protocol, as payload of
+// WebSocket messages.
+const (
+	JobsAccepted Counter = iota
+	JobsAnswered
+	JobsFailed
+	JobsCancelled
+	JobsResubmitted
+	JobsForwarded
+	TasksStarted
+	TasksAnswered
+	TasksNotStarted
+	StartsRepeated
+	GuardsLost
+	GuardsLeft
+	Quarantines
+	LinksOpened
+	LinksLost
+	FramesOut
+	FramesIn
+	BytesOut
+	BytesIn
+	FramesUnknown
+	FramesMalformed
+	ConfigsApplied
+	ConfigsRejected
+	RecordsInvalid
+	RecordsTooNew
+	StoreCalls
+	StoreErrors
+	RostersAppended
+	FencesSent
+	UpstreamDials
+	UpstreamProbesFailed
+	counterCount
+)
+
+// Gauge names a figure that goes up and down.
+type Gauge uint8
+
+// Gauges.
+const (
+	Ready Gauge = iota
+	ConfigRevision
+	Guards
+	Peers
+	Slots
+	SlotsRunning
+	TasksQueued
+	JobsOpen
+	JobsHeld
+	JobsHeldBytes
+	IdentityFloor
+	RosterVersion
+	WorkersQuarantined
+	StartsHeld
+	Waiters
+	gaugeCount
+)
+
+// Latency names a histogram of durations.
+type Latency uint8
+
+// Latencies.
+const (
+	JobLatency Latency = iota
+	TaskQueueLatency
+	TaskRunLatency
+	StoreLatency
+	ConfigLatency
+	latencyCount
+)
+
+// Types of a family, as the exposition format writes them.
+const (
+	TypeCounter   = "counter"
+	TypeGauge     = "gauge"
+	TypeHistogram = "histogram"
+)
+
+// Family is one named figure of the exposition with its meaning.
+type Family struct {
+	Name  string
+	Type  string // a Type constant
+	Label string // name of the one label, or empty
+	Help  string
+}
+
+// Names of the families that carry a label.
+const (
+	refusalsName = "wigeontray_refusals_total"
+	failuresName = "wigeontray_task_failures_total"
+	retriesName  = "wigeontray_retries_total"
+	buildName    = "wigeontray_build_info"
+)
+
+var counterFamilies = [counterCount]Family{
+	JobsAccepted:         {Name: "wigeontray_jobs_accepted_total", Help: "Jobs admitted."},
+	JobsAnswered:         {Name: "wigeontray_jobs_answered_total", Help: "Jobs that ended with every task's result."},
+	JobsFailed:           {Name: "wigeontray_jobs_failed_total", Help: "Admitted jobs that ended marked failed."},
+	JobsCancelled:        {Name: "wigeontray_jobs_cancelled_total", Help: "Admitted jobs that their caller cancelled."},
+	JobsResubmitted:      {Name: "wigeontray_jobs_resubmitted_total", Help: "Submissions of an identity that was known already; nothing was started for them."},
+	JobsForwarded:        {Name: "wigeontray_jobs_forwarded_total", Help: "Requests passed to the entry that owns their identity."},
+	TasksStarted:         {Name: "wigeontray_tasks_started_total", Help: "Starts sent by an entry, or made at a guard."},
+	TasksAnswered:        {Name: "wigeontray_tasks_answered_total", Help: "Tasks whose upstream answered."},
+	TasksNotStarted:      {Name: "wigeontray_tasks_not_started_total", Help: "Tasks of which a guard said that it will never start them."},
+	StartsRepeated:       {Name: "wigeontray_starts_repeated_total", Help: "Starts of a task that the guard had started already; they were not started again."},
+	GuardsLost:           {Name: "wigeontray_guards_lost_total", Help: "Guards whose link broke without a planned stop."},
+	GuardsLeft:           {Name: "wigeontray_guards_left_total", Help: "Guards that announced a planned stop."},
+	Quarantines:          {Name: "wigeontray_quarantines_total", Help: "Times a worker was set aside because its tasks failed."},
+	LinksOpened:          {Name: "wigeontray_links_opened_total", Help: "Links opened to guards, entries or peers."},
+	LinksLost:            {Name: "wigeontray_links_lost_total", Help: "Links that ended for any reason."},
+	FramesOut:            {Name: "wigeontray_frames_out_total", Help: "Frames sent on links."},
+	FramesIn:             {Name: "wigeontray_frames_in_total", Help: "Frames received on links."},
+	BytesOut:             {Name: "wigeontray_bytes_out_total", Help: "Payload bytes sent on links."},
+	BytesIn:              {Name: "wigeontray_bytes_in_total", Help: "Payload bytes received on links."},
+	FramesUnknown:        {Name: "wigeontray_frames_unknown_total", Help: "Frames of a kind that only a newer version knows; they were passed over."},
+	FramesMalformed:      {Name: "wigeontray_frames_malformed_total", Help: "Frames that could not be decoded; their link was closed."},
+	ConfigsApplied:       {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
+	ConfigsRejected:      {Name: "wigeontray_configs_rejected_total", Help: "Configuration snapshots that were not newer than the one in force."},
+	RecordsInvalid:       {Name: "wigeontray_records_invalid_total", Help: "Records read that were not valid; the last valid one stays in force."},
+	RecordsTooNew:        {Name: "wigeontray_records_too_new_total", Help: "Records read with a schema version unknown to this process; the last accepted one stays in force."},
+	StoreCalls:           {Name: "wigeontray_store_calls_total", Help: "Calls made to the platform's store; a waiting watch counts once."},
+	StoreErrors:          {Name: "wigeontray_store_errors_total", Help: "Calls to the platform's store that got no answer or an error."},
+	RostersAppended:      {Name: "wigeontray_rosters_appended_total", Help: "Roster versions that this entry appended."},
+	FencesSent:           {Name: "wigeontray_fences_sent_total", Help: "Fences sent to guards for entries that are gone."},
+	UpstreamDials:        {Name: "wigeontray_upstream_dials_total", Help: "Connections opened from a guard to its upstream."},
+	UpstreamProbesFailed: {Name: "wigeontray_upstream_probes_failed_total", Help: "Health probes that the upstream did not pass."},
+}
+
+var gaugeFamilies = [gaugeCount]Family{
+	Ready:              {Name: "wigeontray_ready", Help: "1 while the process takes new work, else 0."},
+	ConfigRevision:     {Name: "wigeontray_config_revision", Help: "Store revision of the configuration in force."},
+	Guards:             {Name: "wigeontray_guards", Help: "Guards linked now."},
+	Peers:              {Name: "wigeontray_peers", Help: "Entries linked now."},
+	Slots:              {Name: "wigeontray_slots", Help: "Slots of the linked workers, or of this guard's worker."},
+	SlotsRunning:       {Name: "wigeontray_slots_running", Help: "Slots taken by tasks, as far as known here."},
+	TasksQueued:        {Name: "wigeontray_tasks_queued", Help: "Tasks waiting for a slot."},
+	JobsOpen:           {Name: "wigeontray_jobs_open", Help: "Jobs admitted and not yet answered."},
+	JobsHeld:           {Name: "wigeontray_jobs_held", Help: "Job records held for resubmissions."},
+	JobsHeldBytes:      {Name: "wigeontray_jobs_held_bytes", Help: "Memory taken by job records, in bytes, by estimate."},
+	IdentityFloor:      {Name: "wigeontray_identity_floor_ms", Help: "Birth below which identities are refused, in milliseconds of the Unix epoch."},
+	RosterVersion:      {Name: "wigeontray_roster_version", Help: "Version of the newest roster known."},
+	WorkersQuarantined: {Name: "wigeontray_workers_quarantined", Help: "Workers set aside now."},
+	StartsHeld:         {Name: "wigeontray_starts_held", Help: "Starts that a guard remembers."},
+	Waiters:            {Name: "wigeontray_waiters", Help: "Callers' requests open now."},
+}
+
+var latencyFamilies = [latencyCount]Family{
+	JobLatency:       {Name: "wigeontray_job_seconds", Help: "Time from admission of a job to its answer."},
+	TaskQueueLatency: {Name: "wigeontray_task_queue_seconds", Help: "Time a task waited for a slot."},
+	TaskRunLatency:   {Name: "wigeontray_task_run_seconds", Help: "Time a task took on its upstream."},
+	StoreLatency:     {Name: "wigeontray_store_seconds", Help: "Time a call to the platform's store took, watches apart."},
+	ConfigLatency:    {Name: "wigeontray_config_seconds", Help: "Time from seeing a change in the store to having it in force."},
+}
+
+var labelledFamilies = []Family{
+	{Name: refusalsName, Type: TypeCounter, Label: "kind", Help: "Requests refused, by error kind; none was admitted."},
+	{Name: failuresName, Type: TypeCounter, Label: "kind", Help: "Tasks of admitted jobs that ended without a result, by error kind."},
+	{Name: retriesName, Type: TypeCounter, Label: "reason", Help: "Retries, by reason."},
+	{Name: buildName, Type: TypeGauge, Label: "version", Help: "Always 1; the label is the version of the binary."},
+}
+
+var processFamilies = []Family{
+	{Name: "go_goroutines", Type: TypeGauge, Help: "Goroutines."},
+	{Name: "go_heap_bytes", Type: TypeGauge, Help: "Bytes of live and dead objects on the heap."},
+	{Name: "process_resident_memory_bytes", Type: TypeGauge, Help: "Resident memory."},
+	{Name: "process_cpu_seconds_total", Type: TypeCounter, Help: "User and system processor time."},
+	{Name: "process_start_time_seconds", Type: TypeGauge, Help: "Start of the process, in seconds of the Unix epoch."},
+}
+
+// Families lists every family of the exposition.
+func Families() []Family {
+	var out []Family
+	for _, f := range counterFamilies {
+		f.Type = TypeCounter
+		out = append(out, f)
+	}
+	for _, f := range gaugeFamilies {
+		f.Type = TypeGauge
+		out = append(out, f)
+	}
+	for _, f := range latencyFamilies {
+		f.Type = TypeHistogram
+		out = append(out, f)
+	}
+	out = append(out, labelledFamilies...)
+	return append(out, processFamilies...)
+}
