--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/wire"
+)
+
+// Headers of the callers' API.
+const (
+	headerKey  = "Idempotency-Key"
+	headerHome = "Wigeontray-Home" // home incarnation for tickets, on every answer
+)
+
+const statusRunning = http.StatusAccepted
+
+// Handler serves callers: jobs, tickets and the operators' records.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", s.member(s.postJob))
+	mux.HandleFunc("GET /v1/jobs/{key}", s.member(s.getJob))
+	mux.HandleFunc("DELETE /v1/jobs/{key}", s.member(s.deleteJob))
+	mux.HandleFunc("GET /v1/ticket", s.member(s.getTicket))
+	if s.opts.Records != nil {
+		mux.Handle("/v1/records", s.opts.Records)
+		mux.Handle("/v1/records/", s.opts.Records)
+	}
+	return mux
+}
+
+// member wraps a handler with authentication.
+func (s *Server) member(next func(w http.ResponseWriter, r *http.Request, member string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.waiters.Add(1)
+		defer s.waiters.Add(-1)
+		w.Header().Set(headerHome, string(s.id))
+		name, err := s.Authenticate(r)
+		if err != nil {
+			s.refuse(w, "", err)
+			return
+		}
+		next(w, r, name)
+	}
+}
+
+// Authenticate finds the member whose bearer token the request carries.
+func (s *Server) Authenticate(r *http.Request) (string, *errkind.Error) {
+	if s.config.Revision() == 0 {
+		// Before the first configuration every token would look wrong, and
+		// "wrong token" would be an untrue refusal.
+		return "", errkind.New(errkind.StoreUnavailable, "no configuration is in force yet").WithRan(errkind.RanNo).WithAfter(time.Second)
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return "", errkind.New(errkind.Unauthenticated, "want a bearer token")
+	}
+	name, ok := s.config.Member(token)
+	if !ok {
+		return "", errkind.New(errkind.Unauthenticated, "no member has this token")
+	}
+	return name, nil
+}
+
+func (s *Server) refuse(w http.ResponseWriter, key string, err *errkind.Error) {
+	s.metrics.Refused(err.Kind)
+	writeError(w, key, err)
+}
+
+func (s *Server) postJob(w http.ResponseWriter, r *http.Request, member string) {
+	key, err := identity.Parse(r.Header.Get(headerKey))
+	if err != nil {
+		s.refuse(w, "", errkind.New(errkind.BadRequest, "%s: %w", headerKey, err))
+		return
+	}
+	body, refusal := readBody(w, r, s.opts.MaxBody)
+	if refusal != nil {
+		s.refuse(w, key.Text, refusal)
+		return
+	}
+	w.Header().Set("Location", "/v1/jobs/"+key.Text)
+	s.answer(w, r, &request{op: wire.OpSubmit, member: member, key: key, wait: preference(r), body: body})
+}
+
+func (s *Server) getJob(w http.ResponseWriter, r *http.Request, member string) {
+	s.answerKeyed(w, r, member, wire.OpFetch)
+}
+
+func (s *Server) deleteJob(w http.ResponseWriter, r *http.Request, member string) {
+	s.answerKeyed(w, r, member, wire.OpCancel)
+}
+
+// answerKeyed serves the operations on an existing job.
+func (s *Server) answerKeyed(w http.ResponseWriter, r *http.Request, member, op string) {
+	key, err := identity.Parse(r.PathValue("key"))
+	if err != nil {
+		s.refuse(w, "", errkind.New(errkind.BadRequest, "job: %w", err))
+		return
+	}
+	s.answer(w, r, &request{op: op, member: member, key: key, wait: preference(r)})
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, q *request) {
+	a := s.route(r.Context(), q)
+	writeBody(w, a.status, a.body, a.after)
+}
+
+// ticketBody answers GET /v1/ticket.
+type ticketBody struct {
+	Ticket string `json:"ticket"`
+	Home   string `json:"home"`
+}
+
+// getTicket mints an identity by this entry's clock, for callers that have no
+// UUIDv7 or whose clock is wrong.
+func (s *Server) getTicket(w http.ResponseWriter, _ *http.Request, _ string) {
+	k := identity.NewTicket(s.id, time.Now())
+	writeBody(w, http.StatusOK, marshal(ticketBody{Ticket: k.Text, Home: string(s.id)}), 0)
+}
--- /dev/null
+++ b/internal/entry/guards.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wigeontray/internal/telemetry"
+	"wigeontray/internal/wire"
+)
+
+// helloTimeout bounds how long a new link may stay silent. A stranger that
+// connects and says nothing would otherwise hold a connection for good.
+const helloTimeout = 5 * time.Second
+
+// guardLink is one guard's link as the lane sees it.
+type guardLink struct {
+	link  wire.Link
+	hello *wire.Hello
+}
+
+// serveGuard handles a guard's link from its upgrade to its end.
+func (s *Server) serveGuard(w http.ResponseWriter, r *http.Request) {
+	link, err := wire.Accept(w, r, s.traffic)
+	if err != nil {
+		s.metrics.Inc(telemetry.LinksRefused)
+		return
+	}
+	s.ServeGuardLink(s.ctx, link)
+}
+
+// ServeGuardLink handles an established link to a guard and returns when it
+// has ended.
+func (s *Server) ServeGuardLink(ctx context.Context, link wire.Link) {
+	defer link.Close("done")
+	hello, err := s.greet(ctx, link)
+	if err != nil {
+		s.metrics.Inc(telemetry.LinksRefused)
+		s.log.Warn("guard refused", "err", err)
+		return
+	}
+	g := &guardLink{link: link, hello: hello}
+	if !s.links.add(g) {
+		return
+	}
+	defer s.links.remove(g)
+	l := s.lane(hello.Service)
+	l.up(g)
+	s.log.Info("guard up", "guard", hello.Incarnation, "service", hello.Service, "worker", hello.Worker, "slots", hello.Slots)
+	s.shareConfig(link, hello.Revision)
+	err = s.pump(ctx, l, g)
+	l.down(g)
+	s.log.Info("guard down", "guard", hello.Incarnation, "err", err)
+}
+
+// greet reads and checks the Hello and answers it.
+func (s *Server) greet(ctx context.Context, link wire.Link) (*wire.Hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	f, err := link.Recv(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("await hello: %w", err)
+	}
+	h := f.Hello
+	if err := s.checkHello(h); err != nil {
+		return nil, err
+	}
+	welcome := &wire.Welcome{
+		Version:     min(wire.Version, h.Version),
+		Incarnation: s.id,
+		Revision:    s.config.Revision(),
+		Entries:     s.router.Entries(),
+		Software:    s.opts.Software,
+	}
+	if err := link.Send(&wire.Frame{Welcome: welcome}); err != nil {
+		return nil, fmt.Errorf("send welcome: %w", err)
+	}
+	return h, nil
+}
+
+// checkHello refuses peers of another fleet, of a version too far away, or with
+// claims that no worker can meet: one that announces a million slots would draw
+// all work to itself.
+func (s *Server) checkHello(h *wire.Hello) error {
+	switch {
+	case h == nil:
+		return fmt.Errorf("first frame is no hello")
+	case !s.keyMatches(h.Key):
+		return fmt.Errorf("wrong fleet key")
+	case h.MinVersion > wire.Version || h.Version < wire.MinVersion:
+		return fmt.Errorf("protocol versions %d to %d, here %d to %d", h.MinVersion, h.Version, wire.MinVersion, wire.Version)
+	case h.Incarnation == "" || h.Service == "":
+		return fmt.Errorf("no incarnation or service")
+	case h.Slots < 1 || h.Slots > s.opts.MaxSlots:
+		return fmt.Errorf("%d slots, want 1 to %d", h.Slots, s.opts.MaxSlots)
+	}
+	return nil
+}
+
+// keyMatches compares in constant time, so that the key cannot be found byte
+// by byte from how long a refusal takes.
+func (s *Server) keyMatches(key string) bool {
+	return subtle.ConstantTimeCompare([]byte(key), []byte(s.opts.FleetKey)) == 1
+}
+
+// pump reads the link until it ends.
+func (s *Server) pump(ctx context.Context, l *lane, g *guardLink) error {
+	for {
+		f, err := g.link.Recv(ctx)
+		if err != nil {
+			return err
+		}
+		switch {
+		case f.Result != nil, f.Load != nil, f.Offer != nil, f.Goodbye != nil:
+			l.receive(g, f)
+		case f.Config != nil:
+			s.config.Offer(f.Config)
+		case f.ConfigAck != nil:
+			s.links.acked(g, f.ConfigAck.Revision)
+		case f.FenceReport != nil, f.Collected != nil:
+			s.router.FromGuard(g.hello.Incarnation, f)
+		default:
+			s.metrics.Inc(telemetry.FramesUnknown)
+		}
+	}
+}
+
+// shareConfig sends the snapshot in force to a guard that has an older one. A
+// guard with a newer one sends its own, on seeing the revision in the Welcome.
+func (s *Server) shareConfig(link wire.Link, theirs int64) {
+	if c := s.config.Encoded(); c != nil && c.Revision > theirs {
+		_ = link.Send(&wire.Frame{Config: c})
+	}
+}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/dispatch"
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/telemetry"
+	"wigeontray/internal/wire"
+	"wigeontray/internal/wire/wiretest"
+)
+
+// fixedConfig knows two members whose tokens are their names.
+type fixedConfig struct{ revision int64 }
+
+func (c *fixedConfig) Revision() int64 { return c.revision }
+func (c *fixedConfig) Encoded() *wire.Config {
+	return &wire.Config{Revision: c.revision, Snapshot: []byte("snapshot")}
+}
+func (c *fixedConfig) Offer(*wire.Config) {}
+func (c *fixedConfig) Member(token string) (string, bool) {
+	return token, token == "ayni" || token == "leeuwin"
+}
+func (c *fixedConfig) Resolve(member string, s *submission) (string, ServiceLimits, *errkind.Error) {
+	if s.Service != "reserva" && s.Service != "clubcast" {
+		return "", ServiceLimits{}, errkind.New(errkind.UnknownService, "no service %q", s.Service)
+	}
+	return member + "/" + s.Service, ServiceLimits{Deadline: 5 * time.Second, MaxTasks: 10}, nil
+}
+func (c *fixedConfig) Policy(string) dispatch.Policy { return dispatch.DefaultPolicy() }
+func (c *fixedConfig) Subscribe(func())              {}
+
+// soleRouter is a roster of one entry: plain keys are its own, and other
+// homes are gone.
+type soleRouter struct{ id identity.Incarnation }
+
+func (r soleRouter) Owner(_ string, k identity.Key) (identity.Incarnation, *errkind.Error) {
+	if k.Home != "" {
+		return k.Home, nil
+	}
+	return r.id, nil
+}
+func (r soleRouter) Forward(context.Context, identity.Incarnation, *wire.Forward) (*wire.Forwarded, error) {
+	return nil, errkind.New(errkind.HomeUnreachable, "no peers")
+}
+func (r soleRouter) Recover(context.Context, identity.Incarnation, string, identity.Key) *Recovered {
+	return &Recovered{Err: errkind.New(errkind.OutcomeUnknown, "the home is gone")}
+}
+func (r soleRouter) Entries() []wire.EntryAddr                  { return nil }
+func (r soleRouter) FromGuard(identity.Incarnation, *wire.Frame) {}
+
+// bench is one entry with guards that the test plays.
+type bench struct {
+	*qt.C
+	t       *testing.T
+	s       *Server
+	handler http.Handler
+}
+
+func newBench(t *testing.T) *bench {
+	const id = "entry-a-000001"
+	s := New(Options{
+		ID: id, Config: &fixedConfig{revision: 7}, Router: soleRouter{id},
+		Metrics: telemetry.New(), Log: log.New(io.Discard), FleetKey: "fleet",
+	})
+	t.Cleanup(s.Close)
+	return &bench{C: qt.New(t), t: t, s: s, handler: s.Handler()}
+}
+
+// guard links a guard of ayni/reserva and returns the guard's end.
+func (b *bench) guard(incarnation string, slots int) *wiretest.End {
+	ours, theirs := wiretest.Pipe()
+	go b.s.ServeGuardLink(context.Background(), ours)
+	hello := &wire.Hello{
+		Version: wire.Version, MinVersion: wire.MinVersion, Incarnation: identity.Incarnation(incarnation),
+		Service: "ayni/reserva", Worker: incarnation, Slots: slots, Key: "fleet",
+		Load: wire.Load{Seq: 1, Slots: slots, Healthy: true},
+	}
+	b.Assert(theirs.Send(&wire.Frame{Hello: hello}), qt.IsNil)
+	b.Assert(b.next(theirs).Welcome, qt.IsNotNil)
+	synctest.Wait()
+	return theirs
+}
+
+// next reads the next frame that is no configuration.
+func (b *bench) next(l wire.Link) *wire.Frame {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for {
+		f, err := l.Recv(ctx)
+		b.Assert(err, qt.IsNil)
+		if f.Config == nil {
+			return f
+		}
+	}
+}
+
+// silent checks that nothing waits to be read.
+func (b *bench) silent(l wire.Link) {
+	b.t.Helper()
+	synctest.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	for {
+		f, err := l.Recv(ctx)
+		if err != nil {
+			return
+		}
+		b.Assert(f.Config, qt.IsNotNil, qt.Commentf("unexpected frame %+v", f))
+	}
+}
+
+func (b *bench) ok(l wire.Link, st *wire.Start, body string) {
+	b.Assert(l.Send(&wire.Frame{Result: &wire.Result{
+		Ref: st.Ref, Ran: errkind.RanYes, Status: 200, Body: []byte(body),
+		Load: wire.Load{Seq: uint64(time.Now().UnixNano()), Slots: 8, Healthy: true},
+	}}), qt.IsNil)
+}
+
+func (b *bench) request(member, method, path, key, body string) *http.Request {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+member)
+	if key != "" {
+		r.Header.Set(headerKey, key)
+	}
+	return r
+}
+
+func (b *bench) do(r *http.Request) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	b.handler.ServeHTTP(w, r)
+	return w
+}
+
+// post submits in the background; the answer comes on the channel.
+func (b *bench) post(member, key, body string) <-chan *httptest.ResponseRecorder {
+	out := make(chan *httptest.ResponseRecorder, 1)
+	go func() { out <- b.do(b.request(member, "POST", "/v1/jobs", key, body)) }()
+	synctest.Wait()
+	return out
+}
+
+func (b *bench) ticket() string { return identity.NewTicket(b.s.id, time.Now()).Text }
+
+const booking = `{"service":"reserva","tasks":[{"seat":"12A"}]}`
--- /dev/null
+++ b/internal/entry/links.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"sync"
+
+	"wigeontray/internal/identity"
+	"wigeontray/internal/wire"
+)
+
+// linkTable knows every guard's current link and the configuration revision
+// that the guard has confirmed.
+type linkTable struct {
+	mu     sync.Mutex
+	links  map[identity.Incarnation]*guardLink
+	revs   map[identity.Incarnation]int64
+	closed bool
+}
+
+func newLinkTable() *linkTable {
+	return &linkTable{links: make(map[identity.Incarnation]*guardLink), revs: make(map[identity.Incarnation]int64)}
+}
+
+// add puts g in the table; false after close.
+func (t *linkTable) add(g *guardLink) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.links[g.hello.Incarnation] = g
+	t.revs[g.hello.Incarnation] = g.hello.Revision
+	return true
+}
+
+func (t *linkTable) remove(g *guardLink) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.links[g.hello.Incarnation] == g {
+		delete(t.links, g.hello.Incarnation)
+		delete(t.revs, g.hello.Incarnation)
+	}
+}
+
+func (t *linkTable) acked(g *guardLink, revision int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.links[g.hello.Incarnation] == g {
+		t.revs[g.hello.Incarnation] = max(t.revs[g.hello.Incarnation], revision)
+	}
+}
+
+// behind counts the guards that have not confirmed revision.
+func (t *linkTable) behind(revision int64) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, r := range t.revs {
+		if r < revision {
+			n++
+		}
+	}
+	return n
+}
+
+// broadcast queues f for every guard. Sending never blocks.
+func (t *linkTable) broadcast(f *wire.Frame) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.links {
+		_ = g.link.Send(f)
+	}
+}
+
+// send queues f for one guard; false if it has no link.
+func (t *linkTable) send(to identity.Incarnation, f *wire.Frame) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.links[to]
+	return g != nil && g.link.Send(f) == nil
+}
+
+// all lists the guards' hellos.
+func (t *linkTable) all() []*wire.Hello {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*wire.Hello, 0, len(t.links))
+	for _, g := range t.links {
+		out = append(out, g.hello)
+	}
+	return out
+}
+
+// close ends every link and lets no new one in.
+func (t *linkTable) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	for _, g := range t.links {
+		g.link.Close("entry stops")
+	}
+}
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+)
+
+// statusBody answers GET /v1/status.
+type statusBody struct {
+	Entry    identity.Incarnation `json:"entry"`
+	Software string               `json:"software"`
+	Ready    bool                 `json:"ready"`
+	Revision int64                `json:"revision"`
+	Behind   int                  `json:"guards_behind"` // guards that have not confirmed the revision
+	Open     int                  `json:"jobs_open"`
+	Held     int                  `json:"jobs_held"`
+	Services []serviceStatus      `json:"services"`
+	Refusals map[string]int64     `json:"refusals"`
+}
+
+type serviceStatus struct {
+	Service string        `json:"service"`
+	Jobs    int           `json:"jobs_open"`
+	Guards  []guardStatus `json:"guards"`
+}
+
+type guardStatus struct {
+	Guard  identity.Incarnation `json:"guard"`
+	Worker string               `json:"worker"`
+	Rack   string               `json:"rack,omitempty"`
+	Domain string               `json:"failure_domain"`
+	Slots  int                  `json:"slots"`
+}
+
+// AdminHandler serves the listener that operators and scrapers reach: health,
+// readiness, counters and status.
+func (s *Server) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", s.getReady)
+	mux.Handle("GET /metrics", s.metrics)
+	mux.HandleFunc("GET /v1/status", s.getStatus)
+	return mux
+}
+
+func (s *Server) getReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) getStatus(w http.ResponseWriter, _ *http.Request) {
+	b, err := json.MarshalIndent(s.status(), "", "  ")
+	if err != nil {
+		writeError(w, "", err)
+		return
+	}
+	writeBody(w, http.StatusOK, append(b, '\n'), 0)
+}
+
+func (s *Server) status() *statusBody {
+	revision := s.config.Revision()
+	held, open := s.registry.Count()
+	b := &statusBody{
+		Entry: s.id, Software: s.opts.Software, Ready: s.Ready(), Revision: revision,
+		Behind: s.links.behind(revision), Open: open, Held: held,
+		Services: []serviceStatus{}, Refusals: make(map[string]int64),
+	}
+	s.eachLane(func(l *lane) { b.Services = append(b.Services, l.status()) })
+	for _, k := range errkind.All() {
+		if n := s.metrics.Refusals(k); n > 0 {
+			b.Refusals[k.String()] = n
+		}
+	}
+	return b
+}
+
+func (l *lane) status() serviceStatus {
+	st := serviceStatus{Service: l.service, Jobs: l.jobs(), Guards: []guardStatus{}}
+	for _, h := range l.guards() {
+		st.Guards = append(st.Guards, guardStatus{Guard: h.Incarnation, Worker: h.Worker, Rack: h.Rack, Domain: h.Domain, Slots: h.Slots})
+	}
+	return st
+}
--- /dev/null
+++ b/internal/entry/submission.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/jobs"
+)
+
+// MaxTasks is the greatest number of tasks in a job (letter 1).
+const MaxTasks = 500
+
+// submission is the body of POST /v1/jobs.
+type submission struct {
+	// Service is the member's service; Job, in its place, a declared kind of job.
+	Service string `json:"service"`
+	Job     string `json:"job"`
+	Team    string `json:"team"`
+	// DeadlineMs is the time left for the whole answer, in milliseconds.
+	DeadlineMs int64             `json:"deadline_ms"`
+	DeclaredMs int64             `json:"declared_ms"`
+	Tasks      []json.RawMessage `json:"tasks"`
+}
+
+// parseSubmission reads and checks what can be checked without configuration.
+func parseSubmission(body []byte) (*submission, *errkind.Error) {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	s := new(submission)
+	if err := d.Decode(s); err != nil {
+		return nil, errkind.New(errkind.BadRequest, "body: %w", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, errkind.New(errkind.BadRequest, "body: more than one value")
+	}
+	switch {
+	case (s.Service == "") == (s.Job == ""):
+		return nil, errkind.New(errkind.BadRequest, "want either service or job")
+	case len(s.Tasks) == 0:
+		return nil, errkind.New(errkind.BadRequest, "no tasks")
+	case len(s.Tasks) > MaxTasks:
+		return nil, errkind.New(errkind.TooManyTasks, "%d tasks, at most %d", len(s.Tasks), MaxTasks)
+	case s.DeadlineMs < 0 || s.DeclaredMs < 0:
+		return nil, errkind.New(errkind.BadRequest, "negative time")
+	}
+	return s, nil
+}
+
+// fingerprint digests what is asked for. The deadline is left out: it shrinks
+// from one submission of the same job to the next.
+func (s *submission) fingerprint() jobs.Fingerprint {
+	h := sha256.New()
+	field := func(b []byte) {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(b)))
+		h.Write(n[:])
+		h.Write(b)
+	}
+	field([]byte(s.Service))
+	field([]byte(s.Job))
+	field([]byte(s.Team))
+	for _, t := range s.Tasks {
+		field(t)
+	}
+	return jobs.Fingerprint(h.Sum(nil)[:16])
+}
+
+func (s *submission) bodies() [][]byte {
+	out := make([][]byte, len(s.Tasks))
+	for i, t := range s.Tasks {
+		out[i] = t
+	}
+	return out
+}
+
+// readBody reads at most limit bytes of a request.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *errkind.Error) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	case err != nil:
+		return nil, errkind.New(errkind.BadRequest, "body: %w", err)
+	}
+	return b, nil
+}
+
+// preference reads the Prefer header (RFC 7240): how long the caller wants to
+// wait for the answer. Without one it waits until the job is finished.
+func preference(r *http.Request) time.Duration {
+	const forever = time.Hour
+	for _, field := range r.Header.Values("Prefer") {
+		for _, p := range strings.Split(field, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(p), "=")
+			switch strings.ToLower(strings.TrimSpace(name)) {
+			case "respond-async":
+				return 0
+			case "wait":
+				if s, err := strconv.ParseUint(strings.TrimSpace(value), 10, 12); err == nil {
+					return time.Duration(s) * time.Second
+				}
+			}
+		}
+	}
+	return forever
+}
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -21,6 +21,7 @@
 	Quarantines
 	LinksOpened
 	LinksLost
+	LinksRefused
 	FramesOut
 	FramesIn
 	BytesOut
@@ -115,6 +116,7 @@
 	Quarantines:          {Name: "wigeontray_quarantines_total", Help: "Times a worker was set aside because its tasks failed."},
 	LinksOpened:          {Name: "wigeontray_links_opened_total", Help: "Links opened to guards, entries or peers."},
 	LinksLost:            {Name: "wigeontray_links_lost_total", Help: "Links that ended for any reason."},
+	LinksRefused:         {Name: "wigeontray_links_refused_total", Help: "Links that ended at their first frame: a wrong key, a version too far away or claims beyond the limits."},
 	FramesOut:            {Name: "wigeontray_frames_out_total", Help: "Frames sent on links."},
 	FramesIn:             {Name: "wigeontray_frames_in_total", Help: "Frames received on links."},
 	BytesOut:             {Name: "wigeontray_bytes_out_total", Help: "Payload bytes sent on links."},
