dispatch: a first Core with fair queue, least known load and whole answers

Cause: the entry process has nothing to be wired against. Change: Core implements dispatch.Machine. A task goes to the worker with the most slots believed free; a final refusal sends it elsewhere, never back; a failed task fails its job at once; a lost link puts tasks in doubt for a grace time and repeats their starts on the same incarnation only. Ruled out: keeping the refused task for the same guard, as RanNo is that guard's final word; the last two guards are therefore told to keep the task.

--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// Core is the Machine of one service at one entry.
+//
+// It leaves Home of a wire.Start empty: the entry fills in its own incarnation
+// when it carries out the action.
+type Core struct {
+	service string
+	policy  Policy
+	rng     *rand.Rand
+
+	workers []sched.Worker // what placement reads; same places as guards
+	guards  []*guard       // nil at unused places
+	places  map[identity.Incarnation]int
+	domains numbering
+	racks   numbering
+
+	jobs    map[JobID]*job
+	flights map[wire.Ref]*flight
+	queue   sched.Queue[*task]
+	aside   []*task // tasks that no usable worker may take now
+	timers  timerHeap
+	polling bool // a poll timer is set
+
+	actions, handed []Action
+}
+
+var _ Machine = (*Core)(nil)
+
+// New returns the Core of service under p. seed fixes every random choice.
+func New(service string, p Policy, seed uint64) *Core {
+	return &Core{
+		service: service,
+		policy:  p,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		places:  make(map[identity.Incarnation]int),
+		jobs:    make(map[JobID]*job),
+		flights: make(map[wire.Ref]*flight),
+	}
+}
+
+// Actions implements Machine.
+func (c *Core) Actions() []Action {
+	out := c.actions
+	c.actions, c.handed = c.handed[:0], out
+	return out
+}
+
+// Jobs implements Machine.
+func (c *Core) Jobs() int { return len(c.jobs) }
+
+// Configure implements Machine.
+func (c *Core) Configure(now time.Time, p Policy) {
+	c.policy = p
+	c.pump(now)
+}
+
+// Submit implements Machine.
+func (c *Core) Submit(now time.Time, s *Spec) *errkind.Error {
+	if err := c.admit(now, s); err != nil {
+		return err
+	}
+	j := newJob(s, now)
+	c.jobs[s.ID] = j
+	c.timers.add(s.Deadline, timer{job: j})
+	for i := range j.tasks {
+		c.enqueue(&j.tasks[i])
+	}
+	c.pump(now)
+	return nil
+}
+
+// Cancel implements Machine.
+func (c *Core) Cancel(now time.Time, id JobID) {
+	if j := c.jobs[id]; j != nil {
+		c.fail(now, j, failure{kind: errkind.Cancelled, detail: "the caller cancelled the job"})
+		c.pump(now)
+	}
+}
+
+// Tick implements Machine.
+func (c *Core) Tick(now time.Time) {
+	for {
+		t, ok := c.timers.due(now)
+		if !ok {
+			break
+		}
+		c.expire(now, t)
+	}
+	c.pump(now)
+}
+
+// NextTick implements Machine.
+func (c *Core) NextTick() time.Time { return c.timers.next() }
+
+func (c *Core) expire(now time.Time, t timer) {
+	switch {
+	case t.poll:
+		c.poll(now)
+	case t.job != nil && t.job.tasks != nil && c.jobs[t.job.spec.ID] == t.job:
+		c.fail(now, t.job, failure{kind: errkind.DeadlineExpired, detail: "the deadline passed"})
+	case t.guard != nil:
+		c.graceOver(now, t.guard, t.downs)
+	}
+}
+
+func (c *Core) act(a Action) { c.actions = append(c.actions, a) }
+
+// enqueue puts a task that has provably not started into the fair queue.
+func (c *Core) enqueue(t *task) {
+	t.state = waiting
+	s := t.job.spec
+	c.queue.Push(s.Team, c.policy.Teams[s.Team].Weight, sched.Item[*task]{Value: t, Due: t.due})
+}
+
+// pump sends waiting tasks for as long as a worker is believed to have a free
+// slot.
+func (c *Core) pump(now time.Time) {
+	for c.queue.Len() > 0 && c.anyFree() {
+		t, _ := c.queue.Pop()
+		if t.state != waiting || c.jobs[t.job.spec.ID] != t.job {
+			continue // its job was finished while it waited
+		}
+		q := sched.Query{Domain: c.domains.number(c.policy.Domain), Avoid: t.refused}
+		if at := sched.LeastLoad(c.workers, &q, c.rng); at != sched.NoWorker {
+			c.send(now, t, at)
+		} else {
+			c.aside = append(c.aside, t)
+		}
+	}
+	for _, t := range c.aside {
+		c.enqueue(t)
+	}
+	c.aside = c.aside[:0]
+	if c.queue.Len() > 0 && !c.polling {
+		c.polling = true
+		c.timers.add(now.Add(pollEvery), timer{poll: true})
+	}
+}
+
+// Doubt about old load reports.
+const (
+	pollEvery = 20 * time.Millisecond
+	staleLoad = 100 * time.Millisecond
+)
+
+// poll doubts old reports while tasks wait: each round takes one task off what
+// a silent worker was reported to run for others. An entry that has no task of
+// its own at a worker hears nothing from it; without this, one report of full
+// workers would keep its queue waiting for good.
+func (c *Core) poll(now time.Time) {
+	c.polling = false
+	for i, g := range c.guards {
+		if g != nil && now.Sub(g.heard) > staleLoad && c.workers[i].Others > 0 {
+			c.workers[i].Others--
+		}
+	}
+}
+
+func (c *Core) anyFree() bool {
+	for i := range c.workers {
+		if c.workers[i].Free() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// send hands t to the worker at place at. From here on the task may have
+// started, until the guard's final word says that it did not.
+func (c *Core) send(now time.Time, t *task, at int) {
+	g := c.guards[at]
+	t.state = sent
+	start := c.start(now, t)
+	c.flights[start.Ref] = &flight{ref: start.Ref, task: t, guard: g, sent: now, queued: start.WaitMs > 0}
+	c.workers[at].Own++
+	c.act(Action{Guard: g.incarnation, Start: start})
+}
+
+func (c *Core) start(now time.Time, t *task) *wire.Start {
+	s := t.job.spec
+	left := max(1, s.Deadline.Sub(now).Milliseconds())
+	return &wire.Start{Ref: t.ref(), Of: len(t.job.tasks), LeftMs: left, WaitMs: c.waitMs(t, left), Body: s.Tasks[t.index]}
+}
+
+// waitMs tells how long the guard may let the task wait for a slot. A refusal
+// is final for that guard, so the last guards that may still take the task are
+// told to keep it; otherwise a task that was refused Busy everywhere could
+// never run.
+func (c *Core) waitMs(t *task, left int64) int64 {
+	if c.policy.Weighting == WeighMessages || len(c.places)-len(t.refused) <= lastGuards {
+		return left
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/dispatch/guard.go
@@ -0,0 +1,241 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// lastGuards is how many guards may be left for a task before they are told to
+// keep it until a slot is free.
+const lastGuards = 2
+
+// guard is one incarnation of a guard, from its first Hello until it is gone.
+type guard struct {
+	incarnation identity.Incarnation
+	worker      string
+	place       int
+	up          bool
+	leaving     bool
+	downs       int    // link losses; tells a stale grace timer from a due one
+	seq         uint64 // of the newest load report
+	heard       time.Time
+}
+
+// flight is one task that was sent and not answered.
+type flight struct {
+	ref    wire.Ref
+	task   *task // nil when the job was answered meanwhile
+	guard  *guard
+	sent   time.Time
+	queued bool // the guard may hold it in its own queue
+}
+
+// GuardUp implements Machine.
+func (c *Core) GuardUp(now time.Time, h *wire.Hello) {
+	g := c.guardAt(h.Incarnation)
+	known := g != nil
+	if !known {
+		c.dropPredecessors(now, h)
+		g = c.addGuard(h)
+	}
+	g.up, g.leaving = true, h.Load.Draining
+	w := &c.workers[g.place]
+	w.Slots = int32(h.Slots)
+	g.seq = 0
+	c.takeLoad(now, g, &h.Load)
+	c.setState(g)
+	if known {
+		c.resend(now, g)
+	}
+	c.pump(now)
+}
+
+func (c *Core) addGuard(h *wire.Hello) *guard {
+	place := slices.Index(c.guards, nil)
+	if place < 0 {
+		place = len(c.guards)
+		c.guards = append(c.guards, nil)
+		c.workers = append(c.workers, sched.Worker{})
+	}
+	g := &guard{incarnation: h.Incarnation, worker: h.Worker, place: place}
+	c.guards[place] = g
+	c.workers[place] = sched.Worker{Domain: c.domains.number(h.Domain), Rack: c.racks.number(h.Rack)}
+	c.places[h.Incarnation] = place
+	return g
+}
+
+// dropPredecessors gives up on earlier incarnations of a restarted guard whose
+// link is down: their memory is gone with the process, so no answer can come.
+// Without it every job on a killed guard would wait out the whole grace time.
+func (c *Core) dropPredecessors(now time.Time, h *wire.Hello) {
+	for _, g := range c.guards {
+		if g != nil && g.worker == h.Worker && !g.up {
+			c.removeGuard(now, g)
+		}
+	}
+}
+
+// resend repeats every start that the guard has not answered. The link was
+// lost with messages on it; without this their jobs would wait for answers
+// that never come. The guard starts a Ref at most once, so a start that did
+// arrive is not started again. Withdrawn tasks are cancelled, not resent.
+func (c *Core) resend(now time.Time, g *guard) {
+	for _, f := range c.flightsOf(g) {
+		if f.task == nil {
+			c.act(Action{Guard: g.incarnation, Cancel: &wire.Cancel{Ref: f.ref}})
+			c.land(f)
+			continue
+		}
+		c.act(Action{Guard: g.incarnation, Start: c.start(now, f.task)})
+	}
+}
+
+// flightsOf lists a guard's flights in a fixed order, as the order of a map
+// would make replays differ.
+func (c *Core) flightsOf(g *guard) []*flight {
+	var out []*flight
+	for _, f := range c.flights {
+		if f.guard == g {
+			out = append(out, f)
+		}
+	}
+	slices.SortFunc(out, func(a, b *flight) int {
+		if d := a.sent.Compare(b.sent); d != 0 {
+			return d
+		}
+		if d := strings.Compare(a.ref.Key, b.ref.Key); d != 0 {
+			return d
+		}
+		if d := strings.Compare(a.ref.Member, b.ref.Member); d != 0 {
+			return d
+		}
+		return a.ref.Task - b.ref.Task
+	})
+	return out
+}
+
+// GuardDown implements Machine.
+func (c *Core) GuardDown(now time.Time, inc identity.Incarnation) {
+	g := c.guardAt(inc)
+	if g == nil || !g.up {
+		return
+	}
+	g.up = false
+	g.downs++
+	c.setState(g)
+	c.timers.add(now.Add(c.policy.Grace), timer{guard: g, downs: g.downs})
+}
+
+// graceOver gives up on a guard whose link did not come back.
+func (c *Core) graceOver(now time.Time, g *guard, downs int) {
+	if !g.up && g.downs == downs && c.guards[g.place] == g {
+		c.removeGuard(now, g)
+	}
+}
+
+func (c *Core) removeGuard(now time.Time, g *guard) {
+	for _, f := range c.flightsOf(g) {
+		t := f.task
+		c.land(f)
+		if t != nil && t.job.tasks != nil {
+			c.fail(now, t.job, failure{known: true, task: t.index, kind: errkind.WorkerLost,
+				ran: errkind.RanUnknown, detail: "the guard " + string(g.incarnation) + " was lost"})
+		}
+	}
+	delete(c.places, g.incarnation)
+	c.guards[g.place] = nil
+	c.workers[g.place] = sched.Worker{}
+	c.forgetPlace(int32(g.place))
+}
+
+// forgetPlace drops a place from the lists of refusals, as another guard may
+// take it and would be passed over.
+func (c *Core) forgetPlace(place int32) {
+	for _, j := range c.jobs {
+		for i := range j.tasks {
+			t := &j.tasks[i]
+			t.refused = slices.DeleteFunc(t.refused, func(p int32) bool { return p == place })
+		}
+	}
+}
+
+// GuardLeaving implements Machine.
+func (c *Core) GuardLeaving(_ time.Time, inc identity.Incarnation) {
+	if g := c.guardAt(inc); g != nil {
+		g.leaving = true
+		c.setState(g)
+	}
+}
+
+// Load implements Machine.
+func (c *Core) Load(now time.Time, inc identity.Incarnation, l *wire.Load) {
+	if g := c.guardAt(inc); g != nil {
+		c.takeLoad(now, g, l)
+		c.pump(now)
+	}
+}
+
+// Offer implements Machine.
+func (c *Core) Offer(now time.Time, inc identity.Incarnation, o *wire.Offer) {
+	if g := c.guardAt(inc); g != nil {
+		c.takeLoad(now, g, &o.Load)
+		c.pump(now)
+	}
+}
+
+// takeLoad notes a guard's report unless a newer one came first: a late one
+// would show slots as free that have been taken since.
+func (c *Core) takeLoad(now time.Time, g *guard, l *wire.Load) {
+	if l.Seq != 0 && l.Seq <= g.seq {
+		return
+	}
+	g.seq, g.heard = l.Seq, now
+	w := &c.workers[g.place]
+	if l.Slots > 0 {
+		w.Slots = int32(l.Slots)
+	}
+	w.Others = max(0, int32(l.Running+l.Queued)-w.Own)
+	if l.Draining {
+		g.leaving = true
+		c.setState(g)
+	}
+}
+
+func (c *Core) setState(g *guard) {
+	w := &c.workers[g.place]
+	if w.State = sched.Usable; g.leaving || !g.up {
+		w.State = sched.Leaving
+	}
+}
+
+func (c *Core) guardAt(inc identity.Incarnation) *guard {
+	if place, ok := c.places[inc]; ok {
+		return c.guards[place]
+	}
+	return nil
+}
+
+// land takes a flight off the books.
+func (c *Core) land(f *flight) {
+	delete(c.flights, f.ref)
+	c.workers[f.guard.place].Own--
+}
+
+// numbering gives small numbers to names, in order of appearance from 1.
+type numbering struct{ names map[string]uint16 }
+
+func (n *numbering) number(name string) uint16 {
+	if n.names == nil {
+		n.names = make(map[string]uint16)
+	}
+	if _, ok := n.names[name]; !ok {
+		n.names[name] = uint16(len(n.names) + 1)
+	}
+	return n.names[name]
+}
--- /dev/null
+++ b/internal/dispatch/result.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/wire"
+)
+
+// Result implements Machine.
+func (c *Core) Result(now time.Time, inc identity.Incarnation, r *wire.Result) {
+	g := c.guardAt(inc)
+	if g == nil {
+		return // given up on; its jobs have been answered
+	}
+	f := c.flights[r.Ref]
+	if f != nil && f.guard == g {
+		c.land(f)
+		c.takeLoad(now, g, &r.Load)
+		c.settle(now, f, r)
+	} else {
+		// A repeated answer, or a late one of another guard: the task's own
+		// flight must not be touched by it.
+		c.takeLoad(now, g, &r.Load)
+	}
+	c.pump(now)
+}
+
+// settle applies a guard's word to the task of a landed flight.
+func (c *Core) settle(now time.Time, f *flight, r *wire.Result) {
+	t := f.task
+	if t == nil || t.job.tasks == nil {
+		return // the job was answered meanwhile
+	}
+	switch {
+	case r.Kind == errkind.None:
+		c.complete(t, r)
+	case r.Ran == errkind.RanNo && retryable(r.Kind):
+		t.refused = append(t.refused, int32(f.guard.place))
+		c.retry(now, t, r)
+	default:
+		c.fail(now, t.job, failure{known: true, task: t.index, kind: r.Kind, ran: r.Ran, detail: r.Detail})
+	}
+}
+
+func (c *Core) complete(t *task, r *wire.Result) {
+	j := t.job
+	t.state = done
+	t.result = TaskResult{Status: r.Status, Body: r.Body}
+	j.slowest = max(j.slowest, time.Duration(r.RunMs)*time.Millisecond)
+	if j.open--; j.open == 0 {
+		c.succeed(j)
+	}
+}
+
+// retry puts a task back that its guard has finally refused to start. With no
+// guard left that may still take it, the job is answered at once: waiting for
+// the deadline would hold back an answer that is known.
+func (c *Core) retry(now time.Time, t *task, r *wire.Result) {
+	if len(t.refused) >= len(c.places) {
+		c.fail(now, t.job, failure{known: true, task: t.index, kind: errkind.NotRun,
+			ran: errkind.RanNo, detail: "every guard refused the task, the last one with " + r.Kind.String()})
+		return
+	}
+	c.enqueue(t)
+}
+
+// retryable tells whether another guard may answer otherwise. The kinds left
+// out concern the request or this entry, and are the same everywhere.
+func retryable(k errkind.Kind) bool {
+	switch k {
+	case errkind.Fenced, errkind.Cancelled, errkind.DeadlineExpired, errkind.NeverFits,
+		errkind.TooLarge, errkind.BadRequest:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,65 @@
+package sched
+
+import "math/rand/v2"
+
+// NoWorker is the answer of a placement that found nothing.
+const NoWorker = -1
+
+// window bounds how many workers a placement looks at before it takes the best
+// one seen with a free slot. The least loaded of 64 workers chosen at random is
+// as good as the least loaded of all; the bound keeps the cost of a decision
+// from growing with the fleet.
+const window = 64
+
+// Query is one placement.
+type Query struct {
+	Domain uint16  // failure domain of the entry that asks
+	Avoid  []int32 // workers that gave their final word on the task
+}
+
+func (q *Query) avoids(i int32) bool {
+	for _, a := range q.Avoid {
+		if a == i {
+			return true
+		}
+	}
+	return false
+}
+
+// LeastLoad picks the worker with the most slots believed free, and among
+// equals one in the entry's own failure domain, or NoWorker when every slot is
+// believed to be taken. The scan begins at a random worker: entries that began
+// at the same one would send their tasks to the same place.
+func LeastLoad(ws []Worker, q *Query, rng *rand.Rand) int {
+	n := len(ws)
+	if n == 0 {
+		return NoWorker
+	}
+	best, bestScore := NoWorker, int32(0)
+	at := rng.IntN(n)
+	for seen := 0; seen < n; seen++ {
+		if seen >= window && best != NoWorker {
+			break
+		}
+		if s := score(&ws[at], q); s > bestScore && !q.avoids(int32(at)) {
+			best, bestScore = at, s
+		}
+		if at++; at == n {
+			at = 0
+		}
+	}
+	return best
+}
+
+// score orders workers: free slots first, then the entry's own domain.
+func score(w *Worker, q *Query) int32 {
+	free := w.Free()
+	if free <= 0 {
+		return 0
+	}
+	s := free * 2
+	if w.Domain == q.Domain {
+		s++
+	}
+	return s
+}
--- /dev/null
+++ b/internal/sched/queue.go
@@ -0,0 +1,121 @@
+package sched
+
+import "container/heap"
+
+// Item is one waiting task in a Queue.
+type Item[T any] struct {
+	Value T
+	Due   int64 // order inside a flow; the least is served first
+	seq   uint64
+}
+
+// Queue is a two-level fair queue. Flows (teams) share the service by weight
+// with start-time fair queueing; inside a flow the least Due goes first.
+//
+// A single queue in order of arrival would let one team's burst, or one big
+// job, hold up everybody behind it: others would see their response time grow
+// though their own load is small.
+type Queue[T any] struct {
+	flows map[string]*flow[T]
+	live  []*flow[T] // flows with items
+	clock float64    // virtual time: start tag of the last item served
+	size  int
+	seq   uint64
+}
+
+type flow[T any] struct {
+	items  itemHeap[T]
+	weight float64
+	start  float64 // virtual start tag of its next item
+}
+
+// Push adds an item to a flow. weight is the flow's share; 0 counts as 1. cost
+// of an item is one task.
+func (q *Queue[T]) Push(name string, weight float64, it Item[T]) {
+	if q.flows == nil {
+		q.flows = make(map[string]*flow[T])
+	}
+	f := q.flows[name]
+	if f == nil {
+		f = &flow[T]{}
+		q.flows[name] = f
+	}
+	if f.weight = weight; weight <= 0 {
+		f.weight = 1
+	}
+	if len(f.items) == 0 {
+		// A flow that was idle starts now: it neither saves up service for a
+		// later burst nor pays for what it used while nobody else waited.
+		f.start = max(f.start, q.clock)
+		q.live = append(q.live, f)
+	}
+	q.seq++
+	it.seq = q.seq
+	heap.Push(&f.items, it)
+	q.size++
+}
+
+// Pop takes the next item in fair order.
+func (q *Queue[T]) Pop() (T, bool) {
+	best := -1
+	for i, f := range q.live {
+		if best < 0 || f.start < q.live[best].start {
+			best = i
+		}
+	}
+	if best < 0 {
+		var none T
+		return none, false
+	}
+	f := q.live[best]
+	q.clock = f.start
+	f.start += 1 / f.weight
+	it := heap.Pop(&f.items).(Item[T])
+	q.size--
+	if len(f.items) == 0 {
+		last := len(q.live) - 1
+		q.live[best], q.live = q.live[last], q.live[:last]
+	}
+	return it.Value, true
+}
+
+// Len is the number of items in all flows.
+func (q *Queue[T]) Len() int { return q.size }
+
+// Flow gives the items waiting in one flow, and its share of the service while
+// all present flows wait.
+func (q *Queue[T]) Flow(name string, weight float64) (waiting int, share float64) {
+	if weight <= 0 {
+		weight = 1
+	}
+	sum := weight
+	own := q.flows[name]
+	for _, f := range q.live {
+		if f != own {
+			sum += f.weight
+		}
+	}
+	if own != nil {
+		waiting = len(own.items)
+	}
+	return waiting, weight / sum
+}
+
+type itemHeap[T any] []Item[T]
+
+func (h itemHeap[T]) Len() int { return len(h) }
+func (h itemHeap[T]) Less(i, j int) bool {
+	if h[i].Due != h[j].Due {
+		return h[i].Due < h[j].Due
+	}
+	return h[i].seq < h[j].seq
+}
+func (h itemHeap[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *itemHeap[T]) Push(x any)   { *h = append(*h, x.(Item[T])) }
+func (h *itemHeap[T]) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = Item[T]{}
+	*h = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/internal/sched/worker.go
@@ -0,0 +1,36 @@
+// Package sched holds the decisions of the dispatcher as plain functions over
+// a snapshot and an explicit clock: placement, admission, fair queueing, quota,
+// retry budget and quarantine. It has no goroutine, no socket and no lock, and
+// imports nothing of the project, so that a benchmark or a replay can call any
+// decision by itself.
+package sched
+
+// Worker is what an entry believes of one worker. Placement reads a slice of
+// them; it is kept small so that a scan of a large fleet stays in cache.
+type Worker struct {
+	Own    int32  // tasks of this entry that are sent and unanswered
+	Others int32  // tasks of other entries, by the last report
+	Slots  int32  // tasks that it runs at once
+	Domain uint16 // number of its failure domain
+	Rack   uint16 // number of its rack
+	State  State
+}
+
+// State tells whether a worker may be given tasks.
+type State uint8
+
+// States. The zero value is an unused place in the slice.
+const (
+	Absent      State = iota
+	Usable            // takes tasks
+	Quarantined       // takes a probe now and then
+	Leaving           // announced a stop, or its link is down
+)
+
+// Free is the number of slots that are believed to be free.
+func (w *Worker) Free() int32 {
+	if w.State != Usable {
+		return 0
+	}
+	return w.Slots - w.Own - w.Others
+}
