tlsconf: TLS configurations, a small authority and members' tokens

Guards and entries must prove that they belong to the fleet: without it, anybody who reaches the inner port announces an upstream and is handed tasks. Both present a certificate of one authority over TLS 1.3; a guard's certificate is for clients only, so that a stolen one cannot pose as an entry. Towards callers and the store TLS 1.2 is accepted. Files are created, never overwritten. Shown by go test ./internal/tlsconf: refused strangers, foreign authorities, guard certificates used to serve, and TLS 1.2 inside.

--- /dev/null
+++ b/internal/tlsconf/generate.go
@@ -0,0 +1,179 @@
+package tlsconf
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Names of the files that GenerateFleet writes.
+const (
+	AuthorityCert = "ca.pem"
+	AuthorityKey  = "ca-key.pem" // needed only to issue more certificates; belongs on no VM of the fleet
+	EntryCert     = "entry.pem"
+	EntryKey      = "entry-key.pem"
+	GuardCert     = "guard.pem"
+	GuardKey      = "guard-key.pem"
+)
+
+const (
+	authorityLife = 5 * 365 * 24 * time.Hour
+	leafLife      = 365 * 24 * time.Hour
+	clockSkew     = time.Hour // a VM whose clock is behind must accept a new certificate
+	serialBits    = 127
+	certMode      = 0o644
+	keyMode       = 0o600
+	dirMode       = 0o755
+)
+
+// issued is a certificate with its key.
+type issued struct {
+	cert *x509.Certificate
+	der  []byte
+	key  *ecdsa.PrivateKey
+}
+
+// GenerateFleet makes an authority, a certificate for entries and one for
+// guards in dir. hosts are the names and IP numbers under which entries are
+// reached; guards are never dialled, so their certificate names none and
+// cannot serve as an entry's. Existing files are never overwritten.
+func GenerateFleet(dir string, hosts []string, now time.Time) error {
+	if len(hosts) == 0 {
+		return fmt.Errorf("generate fleet: no host given for the entries' certificate")
+	}
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return fmt.Errorf("generate fleet: %w", err)
+	}
+	authority, err := newAuthority(now)
+	if err != nil {
+		return err
+	}
+	entry, err := newLeaf(authority, entryTemplate(hosts), now)
+	if err != nil {
+		return err
+	}
+	guard, err := newLeaf(authority, guardTemplate(), now)
+	if err != nil {
+		return err
+	}
+	return writeFleet(dir, authority, entry, guard)
+}
+
+func writeFleet(dir string, authority, entry, guard *issued) error {
+	files := []struct {
+		cert, key string
+		pair      *issued
+	}{
+		{AuthorityCert, AuthorityKey, authority},
+		{EntryCert, EntryKey, entry},
+		{GuardCert, GuardKey, guard},
+	}
+	for _, f := range files {
+		if err := writePair(filepath.Join(dir, f.cert), filepath.Join(dir, f.key), f.pair); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newAuthority(now time.Time) (*issued, error) {
+	t := &x509.Certificate{
+		Subject:               pkix.Name{CommonName: "wigeontray authority"},
+		NotAfter:              now.Add(authorityLife),
+		KeyUsage:              x509.KeyUsageCertSign,
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		MaxPathLenZero:        true,
+	}
+	return issue(t, nil, now)
+}
+
+func entryTemplate(hosts []string) *x509.Certificate {
+	t := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: "wigeontray entry"},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	for _, h := range hosts {
+		if ip := net.ParseIP(h); ip != nil {
+			t.IPAddresses = append(t.IPAddresses, ip)
+		} else {
+			t.DNSNames = append(t.DNSNames, h)
+		}
+	}
+	return t
+}
+
+func guardTemplate() *x509.Certificate {
+	return &x509.Certificate{
+		Subject:     pkix.Name{CommonName: "wigeontray guard"},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	}
+}
+
+func newLeaf(authority *issued, t *x509.Certificate, now time.Time) (*issued, error) {
+	t.NotAfter = now.Add(leafLife)
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	return issue(t, authority, now)
+}
+
+// issue signs t with the parent, or with its own key when there is none.
+func issue(t *x509.Certificate, parent *issued, now time.Time) (*issued, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("generate key: %w", err)
+	}
+	if t.SerialNumber, err = rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits)); err != nil {
+		return nil, fmt.Errorf("draw serial number: %w", err)
+	}
+	t.NotBefore = now.Add(-clockSkew)
+	signer, signerKey := t, key
+	if parent != nil {
+		signer, signerKey = parent.cert, parent.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, signer, &key.PublicKey, signerKey)
+	if err != nil {
+		return nil, fmt.Errorf("sign certificate: %w", err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("parse certificate: %w", err)
+	}
+	return &issued{cert: cert, der: der, key: key}, nil
+}
+
+func writePair(certFile, keyFile string, p *issued) error {
+	keyDER, err := x509.MarshalPKCS8PrivateKey(p.key)
+	if err != nil {
+		return fmt.Errorf("encode key: %w", err)
+	}
+	if err := writePEM(keyFile, "PRIVATE KEY", keyDER, keyMode); err != nil {
+		return err
+	}
+	return writePEM(certFile, "CERTIFICATE", p.der, certMode)
+}
+
+// writePEM creates file. It fails when file exists: overwriting an authority's
+// key would cut off every process that trusts the old one.
+func writePEM(file, kind string, der []byte, mode os.FileMode) error {
+	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return fmt.Errorf("write key file: %w", err)
+	}
+	if err := pem.Encode(f, &pem.Block{Type: kind, Bytes: der}); err != nil {
+		_ = f.Close() // the first error is the one to report
+		return fmt.Errorf("write %s: %w", file, err)
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("write %s: %w", file, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tlsconf/tlsconf_test.go
@@ -0,0 +1,161 @@
+package tlsconf
+
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func fleet(c *qt.C) (entry, guard Files) {
+	dir := c.TempDir()
+	c.Assert(GenerateFleet(dir, []string{"127.0.0.1", "entry-1.example"}, time.Now()), qt.IsNil)
+	at := func(name string) string { return filepath.Join(dir, name) }
+	return Files{at(EntryCert), at(EntryKey), at(AuthorityCert)}, Files{at(GuardCert), at(GuardKey), at(AuthorityCert)}
+}
+
+// handshake connects both configurations over loopback and returns the two
+// sides' errors. TLS 1.3 reports a refused client certificate on first read.
+func handshake(c *qt.C, server, client *tls.Config) (serverErr, clientErr error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	done := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		s := tls.Server(conn, server)
+		err = s.Handshake()
+		if err == nil {
+			_, err = s.Write([]byte("x"))
+		}
+		_ = s.Close()
+		done <- err
+	}()
+	conn, clientErr := tls.Dial("tcp", l.Addr().String(), client)
+	if clientErr == nil {
+		_, clientErr = io.ReadFull(conn, make([]byte, 1))
+		_ = conn.Close()
+	}
+	return <-done, clientErr
+}
+
+func TestGuardAndEntryTrustEachOther(t *testing.T) {
+	c := qt.New(t)
+	entry, guard := fleet(c)
+	server, err := InnerServer(entry)
+	c.Assert(err, qt.IsNil)
+	for _, files := range []Files{guard, entry} {
+		client, err := InnerClient(files)
+		c.Assert(err, qt.IsNil)
+		serverErr, clientErr := handshake(c, server, client)
+		c.Assert(serverErr, qt.IsNil)
+		c.Assert(clientErr, qt.IsNil)
+	}
+}
+
+// A process without a certificate of the fleet dials an entry's inner port.
+// If it were let in, it could announce an upstream and receive members' tasks.
+func TestStrangerIsRefused(t *testing.T) {
+	c := qt.New(t)
+	entry, _ := fleet(c)
+	server, err := InnerServer(entry)
+	c.Assert(err, qt.IsNil)
+	bare, err := OutsideClient(Files{CA: entry.CA})
+	c.Assert(err, qt.IsNil)
+	serverErr, clientErr := handshake(c, server, bare)
+	c.Assert(serverErr, qt.IsNotNil)
+	c.Assert(clientErr, qt.IsNotNil)
+
+	_, otherGuard := fleet(c)
+	otherGuard.CA = entry.CA
+	foreign, err := InnerClient(otherGuard)
+	c.Assert(err, qt.IsNil)
+	serverErr, _ = handshake(c, server, foreign)
+	c.Assert(serverErr, qt.IsNotNil)
+}
+
+// A stolen guard certificate is put on a false entry. A guard that trusted it
+// would run whatever tasks it is sent.
+func TestGuardCertificateCannotServe(t *testing.T) {
+	c := qt.New(t)
+	_, guard := fleet(c)
+	server, err := InnerServer(guard)
+	c.Assert(err, qt.IsNil)
+	client, err := InnerClient(guard)
+	c.Assert(err, qt.IsNil)
+	_, clientErr := handshake(c, server, client)
+	c.Assert(clientErr, qt.IsNotNil)
+}
+
+func TestInsideNeedsTLS13(t *testing.T) {
+	c := qt.New(t)
+	entry, guard := fleet(c)
+	server, err := InnerServer(entry)
+	c.Assert(err, qt.IsNil)
+	client, err := InnerClient(guard)
+	c.Assert(err, qt.IsNil)
+	client.MinVersion, client.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+	serverErr, _ := handshake(c, server, client)
+	c.Assert(serverErr, qt.IsNotNil)
+
+	callers, err := CallerServer(entry)
+	c.Assert(err, qt.IsNil)
+	caller, err := OutsideClient(Files{CA: entry.CA})
+	c.Assert(err, qt.IsNil)
+	caller.MaxVersion = tls.VersionTLS12
+	serverErr, clientErr := handshake(c, callers, caller)
+	c.Assert(serverErr, qt.IsNil)
+	c.Assert(clientErr, qt.IsNil)
+}
+
+func TestMissingFilesAreNamed(t *testing.T) {
+	c := qt.New(t)
+	_, err := CallerServer(Files{Cert: "only.pem"})
+	c.Assert(err, qt.ErrorIs, errNoCertificate)
+	entry, _ := fleet(c)
+	entry.CA = ""
+	_, err = InnerServer(entry)
+	c.Assert(err, qt.ErrorIs, errNoAuthority)
+	_, err = OutsideClient(Files{CA: "absent.pem"})
+	c.Assert(err, qt.ErrorMatches, ".*absent.pem.*")
+}
+
+// An operator runs the command a second time in the same directory. If it
+// replaced the authority, every running process would refuse the new ones.
+func TestGenerateOverwritesNothing(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	c.Assert(GenerateFleet(dir, []string{"127.0.0.1"}, time.Now()), qt.IsNil)
+	before, err := os.ReadFile(filepath.Join(dir, AuthorityCert))
+	c.Assert(err, qt.IsNil)
+	c.Assert(GenerateFleet(dir, []string{"127.0.0.1"}, time.Now()), qt.ErrorMatches, ".*file exists")
+	after, err := os.ReadFile(filepath.Join(dir, AuthorityCert))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(after), qt.Equals, string(before))
+	info, err := os.Stat(filepath.Join(dir, GuardKey))
+	c.Assert(err, qt.IsNil)
+	c.Assert(info.Mode().Perm(), qt.Equals, os.FileMode(keyMode))
+}
+
+func TestToken(t *testing.T) {
+	c := qt.New(t)
+	a, err := NewToken()
+	c.Assert(err, qt.IsNil)
+	b, err := NewToken()
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Secret, qt.Not(qt.Equals), b.Secret)
+	c.Assert(a.Secret, qt.HasLen, 43)
+	sum := sha256.Sum256([]byte(a.Secret))
+	c.Assert(a.Hash, qt.Equals, hex.EncodeToString(sum[:]))
+}
