--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -57,7 +57,7 @@
 func (r soleRouter) Recover(context.Context, identity.Incarnation, string, identity.Key) *Recovered {
 	return &Recovered{Err: errkind.New(errkind.OutcomeUnknown, "the home is gone")}
 }
-func (r soleRouter) Entries() []wire.EntryAddr                  { return nil }
+func (r soleRouter) Entries() []wire.EntryAddr                   { return nil }
 func (r soleRouter) FromGuard(identity.Incarnation, *wire.Frame) {}
 
 // bench is one entry with guards that the test plays.
