roster: state machine that decides who may start a plain identity

Cause: a resubmission may reach any entry, and no write per job is affordable, so ownership has to follow from numbers that never change.

The history of rosters lies under one store key. A birth belongs to one version; in the last version the owner may start it below the least of the members' promises. Promises and beginnings are compared as numbers in messages.

Ruled out while building it: - Settling an unanswered append by reading the value back. The request may take effect after the reading. Only a revision beyond the expected one settles it. - A first roster of a new fleet that begins by its own clock. Members that are cut off from the store look dead and still promise each other. Each version therefore carries a ceiling, raised by compare-and-swap, that no promise exceeds, and an outsider's roster begins there. - Leavers that all resign. Nobody could write the closing roster, so the first member in order writes it. - Appending without a fresh answer from the store. In an outage the unanswered append capped the promises and refused every plain identity.

--- /dev/null
+++ b/internal/roster/machine_test.go
@@ -0,0 +1,358 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/wire"
+)
+
+const member = "ayni"
+
+var epoch = time.UnixMilli(1_790_000_000_000)
+
+// plainKey makes a plain identity born at the given time; n tells keys apart.
+func plainKey(birth time.Time, n uint64) identity.Key {
+	k := identity.NewTicket("x", birth)
+	for i := range 8 {
+		k.UUID[8+i] = byte(n >> (8 * i))
+	}
+	k.UUID[8] = k.UUID[8]&0x3f | 0x80
+	text := uuid.UUID(k.UUID).String()
+	k, err := identity.Parse(text)
+	if err != nil {
+		panic(err)
+	}
+	return k
+}
+
+// bench drives machines against one store value, with the faults that a test
+// sets. It delivers actions at once.
+type bench struct {
+	c        *qt.C
+	now      time.Time
+	machines map[identity.Incarnation]*Machine
+	order    []identity.Incarnation
+	value    []byte
+	revision int64
+	down     map[identity.Incarnation]bool // processes that are dead or cut off
+	storeOff bool
+	loseSwap func(by identity.Incarnation) bool // effect, but no answer
+	writes   int
+}
+
+func newBench(t *testing.T) *bench {
+	return &bench{
+		c: qt.New(t), now: epoch,
+		machines: make(map[identity.Incarnation]*Machine),
+		down:     make(map[identity.Incarnation]bool),
+	}
+}
+
+func addr(inc identity.Incarnation) wire.EntryAddr {
+	return wire.EntryAddr{Incarnation: inc, Inner: string(inc) + ":1"}
+}
+
+func (b *bench) add(inc identity.Incarnation) *Machine {
+	m := NewMachine(addr(inc), Options{})
+	b.machines[inc] = m
+	b.order = append(b.order, inc)
+	for _, other := range b.order {
+		if other != inc && !b.down[other] {
+			b.machines[other].Linked(b.now, inc)
+			m.Linked(b.now, other)
+		}
+	}
+	return m
+}
+
+// run advances the clock in quarters of the period.
+func (b *bench) run(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(DefaultPeriod / 4) {
+		for _, inc := range b.order {
+			if !b.down[inc] {
+				b.machines[inc].Tick(b.now)
+				b.deliver(inc)
+			}
+		}
+	}
+}
+
+func (b *bench) deliver(from identity.Incarnation) {
+	for _, a := range b.machines[from].Actions() {
+		switch {
+		case a.Broadcast != nil:
+			b.toAll(from, func(m *Machine) { m.Promise(b.now, from, *a.Broadcast) })
+		case a.Announce != nil:
+			b.announce(from, a.Announce)
+		case a.Join != nil && !b.down[a.Join.To]:
+			b.machines[a.Join.To].JoinAsked(b.now, a.Join.Ask)
+		case a.Read && !b.storeOff:
+			b.c.Assert(b.machines[from].Stored(b.now, b.value, b.revision), qt.IsNil)
+		case a.Swap != nil:
+			b.swap(from, a.Swap)
+		}
+	}
+}
+
+func (b *bench) toAll(from identity.Incarnation, f func(*Machine)) {
+	for _, inc := range b.order {
+		if inc != from && !b.down[inc] {
+			f(b.machines[inc])
+		}
+	}
+}
+
+func (b *bench) announce(from identity.Incarnation, a *Announce) {
+	send := func(m *Machine) {
+		for _, r := range a.Versions {
+			m.Learned(b.now, r)
+		}
+	}
+	if a.To == "" {
+		b.toAll(from, send)
+	} else if !b.down[a.To] {
+		send(b.machines[a.To])
+	}
+}
+
+func (b *bench) swap(from identity.Incarnation, s *Swap) {
+	m := b.machines[from]
+	switch {
+	case b.storeOff:
+		m.Swapped(b.now, OutcomeUnknown, 0)
+	case s.Expect != b.revision:
+		m.Swapped(b.now, OutcomeConflict, 0)
+	default:
+		b.value, b.revision = s.Value, b.revision+1
+		b.writes++
+		if b.loseSwap != nil && b.loseSwap(from) {
+			m.Swapped(b.now, OutcomeUnknown, 0)
+			return
+		}
+		m.Swapped(b.now, OutcomeDone, b.revision)
+	}
+}
+
+// owners counts which entries may start n keys born at birth, and asserts that
+// no two may start the same one.
+func (b *bench) owners(birth time.Time, n uint64) map[identity.Incarnation]int {
+	out := make(map[identity.Incarnation]int)
+	for i := range n {
+		key, starters := plainKey(birth, i), 0
+		for _, inc := range b.order {
+			if b.machines[inc].View().MayStart(member, key) == nil {
+				out[inc]++
+				starters++
+			}
+		}
+		b.c.Assert(starters <= 1, qt.IsTrue, qt.Commentf("key %d has %d starters", i, starters))
+	}
+	return out
+}
+
+func total(m map[identity.Incarnation]int) (n int) {
+	for _, k := range m {
+		n += k
+	}
+	return n
+}
+
+func threeEntries(t *testing.T) *bench {
+	b := newBench(t)
+	for i := range 3 {
+		b.add(identity.Incarnation(fmt.Sprintf("entry-%d", i)))
+		b.run(DefaultPeriod)
+	}
+	b.run(DefaultJoinLead + 10*time.Second)
+	return b
+}
+
+func TestEveryKeyHasOneOwner(t *testing.T) {
+	b := threeEntries(t)
+	got := b.owners(b.now, 3000)
+	b.c.Assert(total(got), qt.Equals, 3000)
+	for inc, n := range got {
+		b.c.Check(n > 850 && n < 1150, qt.IsTrue, qt.Commentf("%s owns %d", inc, n))
+	}
+}
+
+func TestMayStartAllocatesNothing(t *testing.T) {
+	b := threeEntries(t)
+	v, key := b.machines["entry-0"].View(), plainKey(b.now, 0)
+	for i := uint64(1); v.MayStart(member, key) != nil; i++ {
+		key = plainKey(b.now, i)
+	}
+	n := testing.AllocsPerRun(100, func() {
+		v.Owner(member, key)
+		_ = v.MayStart(member, key)
+	})
+	b.c.Assert(n, qt.Equals, 0.0)
+}
+
+// An entry dies. Its promises stop, so that after the horizon nobody may start
+// any plain identity, until a roster without it begins. Callers see refusals
+// with a time to come back for a few seconds, then service as before.
+func TestDeadMemberIsLeftOut(t *testing.T) {
+	b := threeEntries(t)
+	b.down["entry-1"] = true
+	b.run(DefaultHorizon + time.Second)
+	b.c.Assert(total(b.owners(b.now, 300)), qt.Equals, 0)
+	b.machines["entry-0"].Gone(b.now, "entry-1")
+	b.machines["entry-2"].Gone(b.now, "entry-1")
+	b.run(2 * time.Second)
+	// What the dead entry owns until the new roster begins stays refused.
+	early := b.owners(b.now, 300)
+	b.c.Assert(total(early) > 150 && total(early) < 300, qt.IsTrue)
+	b.run(DefaultHorizon)
+	got := b.owners(b.now, 300)
+	b.c.Assert(total(got), qt.Equals, 300)
+	b.c.Assert(got["entry-1"], qt.Equals, 0)
+	b.c.Assert(b.machines["entry-0"].declaredGone("entry-1"), qt.IsTrue)
+}
+
+// The store goes down while every entry lives. Nothing of a request needs the
+// store, so callers notice nothing for as long as the ceiling reaches.
+func TestStoreOutageIsNotNoticed(t *testing.T) {
+	b := threeEntries(t)
+	b.storeOff = true
+	b.run(DefaultLead - DefaultRenew - time.Minute)
+	b.c.Assert(total(b.owners(b.now, 300)), qt.Equals, 300)
+	b.run(2*DefaultRenew + time.Minute)
+	b.c.Assert(total(b.owners(b.now, 300)), qt.Equals, 0)
+	b.storeOff = false
+	b.run(10 * time.Second)
+	b.c.Assert(total(b.owners(b.now, 300)), qt.Equals, 300)
+}
+
+// The answer to an append is lost although it took effect, and reading the
+// store fails for a while. Until the truth is read the appender cannot know
+// which roster holds, so it promises nothing beyond the new one's beginning.
+func TestLostAnswerToAppendCapsPromises(t *testing.T) {
+	b := threeEntries(t)
+	b.loseSwap = func(identity.Incarnation) bool { b.storeOff = true; return true }
+	b.add("entry-3")
+	b.run(2 * time.Second)
+	b.c.Assert(b.storeOff, qt.IsTrue)
+	h, err := DecodeHistory(b.value)
+	b.c.Assert(err, qt.IsNil)
+	from := h.Versions[len(h.Versions)-1].FromMs
+	b.run(DefaultJoinLead + DefaultHorizon)
+	for _, inc := range b.order[:3] {
+		b.c.Assert(b.machines[inc].View().HorizonMs() <= from, qt.IsTrue)
+	}
+	b.storeOff, b.loseSwap = false, nil
+	b.run(5 * time.Second)
+	b.c.Assert(total(b.owners(b.now, 300)), qt.Equals, 300)
+	b.c.Assert(b.owners(b.now, 300)["entry-3"] > 0, qt.IsTrue)
+}
+
+// An append gets no answer and its request stays in a queue. The value read back
+// is the old one, yet the request still takes effect later. An appender that
+// took the reading for the truth would go on promising beyond the beginning of
+// a roster that gives its births to somebody else.
+func TestReadingTheOldValueDoesNotSettleAnAppend(t *testing.T) {
+	c := qt.New(t)
+	m := NewMachine(addr("a"), Options{})
+	old, err := History{Versions: []Version{{
+		Version: 1, FromMs: epoch.UnixMilli(), Members: []wire.EntryAddr{addr("a"), addr("b")},
+		CeilingMs: epoch.Add(time.Hour).UnixMilli(),
+	}}}.Encode()
+	c.Assert(err, qt.IsNil)
+	c.Assert(m.Stored(epoch, old, 7), qt.IsNil)
+	m.Gone(epoch, "b")
+	capMs := m.pending.capMs
+	m.Swapped(epoch.Add(time.Second), OutcomeUnknown, 0)
+	c.Assert(m.Stored(epoch.Add(2*time.Second), old, 7), qt.IsNil)
+	m.Tick(epoch.Add(time.Minute))
+	c.Assert(m.own <= capMs, qt.IsTrue)
+}
+
+// All entries of a region are lost at once and replaced. The old ones might only
+// be cut off from the store, so the new roster begins at the ceiling: plain
+// identities are refused until then, with a reason that is true, and tickets
+// are served at once.
+func TestNewFleetBeginsAtTheCeiling(t *testing.T) {
+	b := threeEntries(t)
+	old := b.machines["entry-0"].View()
+	ceiling, _ := old.Last()
+	for _, inc := range b.order {
+		b.down[inc] = true
+	}
+	e := b.add("entry-9")
+	for _, inc := range b.order[:3] {
+		e.Gone(b.now, inc)
+	}
+	b.run(DefaultTakeover + 2*time.Second)
+	last, _ := e.View().Last()
+	b.c.Assert(last.Members, qt.DeepEquals, []wire.EntryAddr{addr("entry-9")})
+	b.c.Assert(last.FromMs, qt.Equals, ceiling.CeilingMs)
+	key := plainKey(b.now, 1)
+	b.c.Assert(e.View().MayStart(member, key).Kind, qt.Equals, errkind.HomeUnreachable)
+	b.c.Assert(e.View().MayStart(member, identity.NewTicket("entry-9", b.now)) == nil, qt.IsTrue)
+}
+
+// Every entry is stopped as planned and the fleet starts again. Since the last
+// one out closes the roster, the next fleet serves plain identities within
+// seconds and does not wait for the ceiling.
+func TestPlannedStopOfAllLetsTheNextFleetStart(t *testing.T) {
+	b := threeEntries(t)
+	for _, inc := range b.order {
+		b.machines[inc].Leave(b.now)
+	}
+	b.run(DefaultHorizon + 5*time.Second)
+	for _, inc := range b.order {
+		b.c.Assert(b.machines[inc].Left(b.now), qt.IsTrue, qt.Commentf("%s", inc))
+		b.down[inc] = true
+	}
+	b.add("entry-9")
+	b.run(3 * time.Second)
+	b.c.Assert(b.owners(b.now, 100)["entry-9"], qt.Equals, 100)
+}
+
+// An operator stops one entry while the store is down. It cannot be taken off
+// the roster, but its resignation lets the others go on promising without it.
+func TestPlannedStopDuringStoreOutage(t *testing.T) {
+	b := threeEntries(t)
+	b.storeOff = true
+	b.machines["entry-2"].Leave(b.now)
+	b.run(2 * time.Second)
+	b.down["entry-2"] = true
+	b.run(time.Minute)
+	got := b.owners(b.now, 300)
+	b.c.Assert(got["entry-0"]+got["entry-1"] > 150, qt.IsTrue)
+}
+
+// An entry is paused past its lease and wakes. The others have declared it gone.
+// What it may have thought before the pause must not let it start what was born
+// since.
+func TestPausedEntryWakesFenced(t *testing.T) {
+	b := threeEntries(t)
+	b.down["entry-1"] = true
+	b.run(3 * time.Second)
+	b.machines["entry-0"].Gone(b.now, "entry-1")
+	b.machines["entry-2"].Gone(b.now, "entry-1")
+	b.run(10 * time.Second)
+	b.owners(b.now, 1000) // no key has two starters before it learns anything
+	b.down["entry-1"] = false
+	b.run(2 * time.Second)
+	b.c.Assert(b.machines["entry-1"].View().Fenced(), qt.IsTrue)
+	b.owners(b.now, 1000)
+}
+
+// A store value that was damaged must not be obeyed.
+func TestDecodeHistoryRefuses(t *testing.T) {
+	for _, s := range []string{
+		``, `{}`, `{"versions":[{"version":1},{"version":3}]}`,
+		`{"versions":[{"version":1,"from_ms":5},{"version":2,"from_ms":4}]}`,
+	} {
+		_, err := DecodeHistory([]byte(s))
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", s))
+	}
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -205,8 +205,9 @@
 	Key         string               `cbor:"8,keyasint,omitempty"`
 }
 
-// Promise is an entry's word that it will take part in no roster after Version
-// that begins before UntilMs. See package roster.
+// Promise is an entry's word that it will append no roster after Version that
+// begins before UntilMs. math.MaxInt64 resigns: it will append none at all. See
+// package roster.
 type Promise struct {
 	Version int64 `cbor:"1,keyasint"`
 	UntilMs int64 `cbor:"2,keyasint"`
@@ -217,6 +218,10 @@
 	Version int64       `cbor:"1,keyasint"`
 	FromMs  int64       `cbor:"2,keyasint"` // births from here on belong to this version
 	Members []EntryAddr `cbor:"3,keyasint"`
+	// CeilingMs bounds every promise under this version; it only grows.
+	CeilingMs int64 `cbor:"4,keyasint,omitempty"`
+	// Gone are entries that this version declares gone for good.
+	Gone []identity.Incarnation `cbor:"5,keyasint,omitempty"`
 }
 
 // Join asks a roster member to append a roster that includes the sender.
