errkind: refusals that leave no record no longer claim 'not run'

Cause: a full registry, a wrong region, a missing configuration or a birth in the future refuse without a record, so a delayed copy of the request may be accepted later, and the earlier 'not run' would turn out false. Such refusals now say 'unknown, nothing was started by this request'. Draining is recorded, stays final, and asks for a new identity.

--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,103 @@
+// Package cli owns the command line of both binaries: flags, help texts, exit
+// codes and output. Each command calls the package that does the work.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"wigeontray/internal/telemetry"
+)
+
+// Exit codes of both binaries.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1 // the command ran and its answer is no
+	ExitUsage   = 2 // flags or settings are wrong
+	ExitUnknown = 3 // the outcome cannot be known; ask before repeating
+)
+
+// ErrFailed marks a command that ran and whose answer is no.
+var ErrFailed = errors.New("failed")
+
+// errUsage marks wrong flags or settings.
+var errUsage = errors.New("usage")
+
+// errUnknown marks an outcome that cannot be known.
+var errUnknown = errors.New("outcome unknown")
+
+// env is what commands share.
+type env struct {
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// commands of wigeontray.
+type commands struct {
+	Serve      serveCmd      `cmd:"" help:"Run an entry by a settings file until SIGTERM."`
+	Standalone standaloneCmd `cmd:"" help:"Run entry, guards, sample upstreams and store in one process and serve two sample jobs."`
+	Submit     submitCmd     `cmd:"" help:"Submit a job and print its answer as JSON."`
+	Status     statusCmd     `cmd:"" help:"Print what is in force at an entry as JSON."`
+	Keys       keysCmd       `cmd:"" help:"Make a certificate authority and certificates for a fleet, or a member's token."`
+	Version    versionCmd    `cmd:"" help:"Print the version."`
+}
+
+// Main runs the command line of the entry binary and returns its exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var c commands
+	parser, err := kong.New(&c,
+		kong.Name("wigeontray"),
+		kong.Description("A shared dispatcher for short urgent requests."),
+		kong.Writers(stdout, stderr),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		panic(err) // the structure above is constant
+	}
+	k, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(stderr, "wigeontray: %v\n", err)
+		return ExitUsage
+	}
+	return exitCode(stderr, k.Run(&env{ctx: ctx, stdout: stdout, stderr: stderr}))
+}
+
+func exitCode(stderr io.Writer, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(stderr, "wigeontray: %v\n", err)
+	switch {
+	case errors.Is(err, errUsage):
+		return ExitUsage
+	case errors.Is(err, errUnknown):
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run(e *env) error {
+	_, err := fmt.Fprintln(e.stdout, "wigeontray", telemetry.Version)
+	return err
+}
+
+// secretFrom reads a token or key from a file, without its trailing newline.
+func secretFrom(path string) (string, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errUsage, err)
+	}
+	for len(b) > 0 && (b[len(b)-1] == '\n' || b[len(b)-1] == '\r') {
+		b = b[:len(b)-1]
+	}
+	return string(b), nil
+}
--- /dev/null
+++ b/internal/cli/keys.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"wigeontray/internal/tlsconf"
+)
+
+type keysCmd struct {
+	Fleet fleetKeysCmd `cmd:"" help:"Make an authority and certificates for entries and guards."`
+	Token tokenCmd     `cmd:"" help:"Draw a member's token; its hash goes into the member's record."`
+}
+
+type fleetKeysCmd struct {
+	Dir  string   `arg:"" help:"Folder to write to; files that exist are not touched."`
+	Host []string `arg:"" help:"Names or IP numbers under which entries are reached."`
+}
+
+// Run writes the files.
+func (c *fleetKeysCmd) Run(*env) error {
+	return tlsconf.GenerateFleet(c.Dir, c.Host, time.Now())
+}
+
+type tokenCmd struct{}
+
+// Run prints the token and its hash as JSON. The token is kept nowhere.
+func (tokenCmd) Run(e *env) error {
+	t, err := tlsconf.NewToken()
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(e.stdout).Encode(struct {
+		Token  string `json:"token"`
+		SHA256 string `json:"token_sha256"`
+	}{t.Secret, t.Hash})
+}
+
+// get prints the body of a GET.
+func get(ctx context.Context, e *env, h *http.Client, url string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	resp, err := h.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%w: %s answered %s", ErrFailed, url, resp.Status)
+	}
+	_, err = io.Copy(e.stdout, resp.Body)
+	return err
+}
--- /dev/null
+++ b/internal/cli/submit.go
@@ -0,0 +1,166 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"wigeontray/internal/client"
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/tlsconf"
+)
+
+// progressAfter is how long a command may stay silent (issue 3).
+const progressAfter = 2 * time.Second
+
+// target says how to reach entries as a member.
+type target struct {
+	Entry     []string `required:"" placeholder:"URL" help:"Base URL of an entry for callers; repeat for more."`
+	TokenFile string   `required:"" placeholder:"FILE" help:"File with the member's token."`
+	CA        string   `placeholder:"FILE" help:"Certificates that the entries' certificates must chain to."`
+}
+
+func (t *target) client() (*client.Client, error) {
+	token, err := secretFrom(t.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	h, err := httpClient(t.CA)
+	if err != nil {
+		return nil, err
+	}
+	return &client.Client{Entries: t.Entry, Token: token, HTTP: h}, nil
+}
+
+func httpClient(ca string) (*http.Client, error) {
+	tr := http.DefaultTransport.(*http.Transport).Clone()
+	tr.Proxy = nil
+	if ca != "" {
+		conf, err := tlsconf.OutsideClient(tlsconf.Files{CA: ca})
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errUsage, err)
+		}
+		tr.TLSClientConfig = conf
+	}
+	return &http.Client{Transport: tr}, nil
+}
+
+type submitCmd struct {
+	target
+	Service  string        `xor:"what" required:"" help:"Service of the member."`
+	Job      string        `xor:"what" required:"" help:"Declared kind of job, in place of a service."`
+	Team     string        `help:"Team whose quota counts."`
+	Key      string        `help:"Identity; without one a ticket is fetched. Repeat the command with the same identity to ask again."`
+	Deadline time.Duration `default:"10s" help:"Time left for the whole answer."`
+	Tasks    string        `type:"existingfile" help:"File with a JSON array of task bodies."`
+	Task     []string      `arg:"" optional:"" help:"Task bodies as JSON."`
+}
+
+// Run submits the job and prints the answer. A job that failed exits with
+// ExitFailed, one whose outcome is unknown with ExitUnknown.
+func (c *submitCmd) Run(e *env) error {
+	tasks, err := c.bodies()
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	// The answer comes by the deadline; the rest is for resubmissions.
+	ctx, cancel := context.WithTimeout(e.ctx, c.Deadline+5*time.Second)
+	defer cancel()
+	defer e.progress("waiting for the answer")()
+	key := c.Key
+	if key == "" {
+		if key, err = cl.Ticket(ctx); err != nil {
+			return fmt.Errorf("fetch a ticket: %w", err)
+		}
+	}
+	a, err := cl.Submit(ctx, key, &client.Job{
+		Service: c.Service, Job: c.Job, Team: c.Team, DeadlineMs: c.Deadline.Milliseconds(), Tasks: tasks,
+	})
+	if err != nil {
+		return fmt.Errorf("%w: job %s: %w", errUnknown, key, err)
+	}
+	if _, err := fmt.Fprintf(e.stdout, "%s\n", a.Body); err != nil {
+		return err
+	}
+	return verdict(a)
+}
+
+func (c *submitCmd) bodies() ([]json.RawMessage, error) {
+	var out []json.RawMessage
+	if c.Tasks != "" {
+		b, err := os.ReadFile(c.Tasks)
+		if err != nil {
+			return nil, err
+		}
+		if err := json.Unmarshal(b, &out); err != nil {
+			return nil, fmt.Errorf("%s: %w", c.Tasks, err)
+		}
+	}
+	for _, t := range c.Task {
+		if !json.Valid([]byte(t)) {
+			return nil, fmt.Errorf("task %q is no JSON", t)
+		}
+		out = append(out, json.RawMessage(t))
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("no tasks")
+	}
+	return out, nil
+}
+
+// verdict turns an answer into the command's outcome.
+func verdict(a *client.Answer) error {
+	switch e := a.Parsed.Error; {
+	case e == nil:
+		return nil
+	case e.Ran == errkind.RanUnknown.String():
+		return fmt.Errorf("%w: %s", errUnknown, e.Message)
+	default:
+		return fmt.Errorf("%w: %s", ErrFailed, e.Message)
+	}
+}
+
+// progress writes what to stderr once the command has been silent for
+// progressAfter, and again at the same distance, until the returned function
+// is called.
+func (e *env) progress(what string) (stop func()) {
+	done := make(chan struct{})
+	start := time.Now()
+	go func() {
+		t := time.NewTicker(progressAfter)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				fmt.Fprintf(e.stderr, "%s, %v so far\n", what, time.Since(start).Round(time.Second))
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+type statusCmd struct {
+	Admin string `required:"" placeholder:"URL" help:"Base URL of an entry's listener for operators."`
+	CA    string `placeholder:"FILE" help:"Certificates that the entry's certificate must chain to."`
+}
+
+// Run prints the entry's status.
+func (c *statusCmd) Run(e *env) error {
+	h, err := httpClient(c.CA)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, 10*time.Second)
+	defer cancel()
+	defer e.progress("waiting for the entry")()
+	return get(ctx, e, h, c.Admin+"/v1/status")
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -43,6 +43,10 @@
 			s.refuse(w, "", err)
 			return
 		}
+		if err := s.config.CheckRegion(name); err != nil {
+			s.refuse(w, "", err)
+			return
+		}
 		next(w, r, name)
 	}
 }
@@ -52,7 +56,7 @@
 	if s.config.Revision() == 0 {
 		// Before the first configuration every token would look wrong, and
 		// "wrong token" would be an untrue refusal.
-		return "", errkind.New(errkind.StoreUnavailable, "no configuration is in force yet").WithRan(errkind.RanNo).WithAfter(time.Second)
+		return "", errkind.New(errkind.StoreUnavailable, "no configuration is in force yet").WithAfter(time.Second)
 	}
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,8 @@
 	Offer(c *wire.Config)
 	// Member authenticates a bearer token.
 	Member(token string) (name string, ok bool)
+	// CheckRegion refuses, with WrongRegion, a member that is served elsewhere.
+	CheckRegion(member string) *errkind.Error
 	// Resolve finds the service that a submission is for.
 	Resolve(member string, s *submission) (service string, limits ServiceLimits, err *errkind.Error)
 	// Policy gives the policy of a service.
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -38,8 +38,9 @@
 	}
 	return member + "/" + s.Service, ServiceLimits{Deadline: 5 * time.Second, MaxTasks: 10}, nil
 }
-func (c *fixedConfig) Policy(string) dispatch.Policy { return dispatch.DefaultPolicy() }
-func (c *fixedConfig) Subscribe(func())              {}
+func (c *fixedConfig) CheckRegion(string) *errkind.Error { return nil }
+func (c *fixedConfig) Policy(string) dispatch.Policy     { return dispatch.DefaultPolicy() }
+func (c *fixedConfig) Subscribe(func())                  {}
 
 // soleRouter is a roster of one entry: plain keys are its own, and other
 // homes are gone.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -48,6 +48,7 @@
 	StoreUnavailable
 	Overloaded
 	Internal
+	TooManyJobs
 	kindCount
 )
 
@@ -55,7 +56,8 @@
 type Ran uint8
 
 // What an answer claims about a start. RanNo is a promise: the task never ran
-// and, under this identity, never will by itself.
+// under this identity and never will. A refusal that leaves no record cannot
+// promise that, as a delayed copy of the request may still be accepted.
 const (
 	RanUnknown Ran = iota
 	RanNo
@@ -99,13 +101,13 @@
 	TooManyTasks:       {"too_many_tasks", http.StatusRequestEntityTooLarge, RanNo, AdviceNone, "the job has too many tasks"},
 	IdentityReused:     {"identity_reused", http.StatusUnprocessableEntity, RanUnknown, AdviceNewIdentity, "the identity belongs to another request"},
 	IdentityExpired:    {"identity_expired", http.StatusGone, RanUnknown, AdviceNewIdentity, "the identity's birth lies outside the time in which this system can vouch for it; nothing was started by this request"},
-	WrongRegion:        {"wrong_region", http.StatusMisdirectedRequest, RanNo, AdviceSame, "the member's requests are served in another region"},
+	WrongRegion:        {"wrong_region", http.StatusMisdirectedRequest, RanUnknown, AdviceSame, "the member's requests are served in another region; nothing was started by this request"},
 	DeadlineExpired:    {"deadline_expired", http.StatusGatewayTimeout, RanNo, AdviceNewIdentity, "the deadline passed before the task could start"},
 	CannotFinishInTime: {"cannot_finish_in_time", http.StatusServiceUnavailable, RanNo, AdviceNewIdentity, "the work cannot finish before its deadline"},
 	OverQuota:          {"over_quota", http.StatusTooManyRequests, RanNo, AdviceNewIdentity, "the team's quota is used up"},
 	NeverFits:          {"never_fits", http.StatusUnprocessableEntity, RanNo, AdviceNone, "no worker could ever run this"},
 	NoWorkers:          {"no_workers", http.StatusServiceUnavailable, RanNo, AdviceNewIdentity, "no worker for the service is connected"},
-	Draining:           {"draining", http.StatusServiceUnavailable, RanNo, AdviceSame, "this process is stopping"},
+	Draining:           {"draining", http.StatusServiceUnavailable, RanNo, AdviceNewIdentity, "this process is stopping"},
 	HomeUnreachable:    {"home_unreachable", http.StatusServiceUnavailable, RanUnknown, AdviceSame, "the entry that owns the identity cannot be reached now; nothing was started by this request"},
 	OutcomeUnknown:     {"outcome_unknown", http.StatusConflict, RanUnknown, AdviceAsk, "whether the request ran cannot be known; it will not be started again"},
 	NotRun:             {"not_run", http.StatusServiceUnavailable, RanNo, AdviceNewIdentity, "the request provably never ran and never will under this identity"},
@@ -122,6 +124,7 @@
 	StoreUnavailable:   {"store_unavailable", http.StatusServiceUnavailable, RanUnknown, AdviceSame, "the platform's store does not answer"},
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, RanNo, AdviceNewIdentity, "this process is at its limit"},
 	Internal:           {"internal", http.StatusInternalServerError, RanUnknown, AdviceAsk, "an internal error"},
+	TooManyJobs:        {"too_many_jobs", http.StatusServiceUnavailable, RanUnknown, AdviceSame, "the member has too many unfinished jobs; nothing was started by this request"},
 }
 
 // All lists every kind but None.
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -68,7 +68,7 @@
 // Admit finds or makes the record of an identity. fresh tells the caller that
 // it is the first and must now run the job or finish the record with a refusal.
 // The record is held for the caller until its Release. Errors are
-// IdentityReused, IdentityExpired and Overloaded; none of them leaves a record.
+// IdentityReused, IdentityExpired and TooManyJobs; none of them leaves a record.
 func (r *Registry) Admit(now time.Time, member string, key identity.Key, f Fingerprint) (rec *Record, fresh bool, err *errkind.Error) {
 	return r.shard(member).admit(now, member, key, f)
 }
@@ -160,7 +160,7 @@
 		return nil, false, err
 	}
 	if len(s.records) >= s.limits.Records && !s.evict() {
-		return nil, false, errkind.New(errkind.Overloaded, "%d jobs are unfinished", s.open).WithAfter(time.Second)
+		return nil, false, errkind.New(errkind.TooManyJobs, "%d jobs are unfinished", s.open).WithAfter(time.Second)
 	}
 	// Making room may have raised the floor above this very identity.
 	if err := s.vouch(now, key); err != nil {
@@ -182,7 +182,7 @@
 			now.Sub(time.UnixMilli(key.BirthMs)).Round(time.Millisecond), s.limits.Retention)
 	case key.BirthMs > now.Add(s.limits.Skew).UnixMilli():
 		return errkind.New(errkind.IdentityExpired, "born %v in the future",
-			time.UnixMilli(key.BirthMs).Sub(now).Round(time.Millisecond)).WithRan(errkind.RanNo)
+			time.UnixMilli(key.BirthMs).Sub(now).Round(time.Millisecond))
 	}
 	return nil
 }
--- a/internal/jobs/registry_test.go
+++ b/internal/jobs/registry_test.go
@@ -91,7 +91,7 @@
 		c.Assert(err == nil, qt.IsTrue)
 	}
 	_, _, err := r.Admit(start, "ayni", born(start), Fingerprint{})
-	c.Assert(err.Kind, qt.Equals, errkind.Overloaded)
+	c.Assert(err.Kind, qt.Equals, errkind.TooManyJobs)
 	_, _, err = r.Admit(start, "leeuwin", born(start), Fingerprint{})
 	c.Assert(err == nil, qt.IsTrue)
 }
