Guard: ledger, process, sample upstream and command, thin

Cause: entries need something that starts a task on an upstream at most once and can say truthfully that it did not.

Ruled out: keeping only starts in memory. A task that was refused with RanNo is sent to another guard, so a delayed duplicate of its Start must stay refused here; refusals are therefore remembered like starts. A floor that follows the clock was ruled out too: a clock that jumps ahead would refuse every birth in between; it follows what was forgotten.

Change: package ledger decides, under an explicit clock; package guard owns links, the upstream client, health checks, drain and stop; package sample is an upstream for tests and the quickstart; the command takes flags for now.

Conclusion: TestServesOverSockets takes one task over real sockets and stops; the failure tests of the packages follow.

--- /dev/null
+++ b/internal/guard/options.go
@@ -0,0 +1,141 @@
+package guard
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"wigeontray/internal/ledger"
+	"wigeontray/internal/wire"
+)
+
+// Defaults of Options.
+const (
+	DefaultConnections   = 64
+	DefaultHealthEvery   = time.Second
+	DefaultHealthTimeout = time.Second
+	DefaultMaxAnswer     = 2 << 20
+	DefaultUpstreamIdle  = 2 * time.Second
+)
+
+// frameMargin is the room that a Result needs in a frame besides its body.
+const frameMargin = 64 << 10
+
+// workerForm leaves room for the suffix that makes a name an incarnation.
+var workerForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,49}$`)
+
+// Options configures a Guard. A zero field takes its default where one exists.
+type Options struct {
+	Entries  []string    // host:port of the entries' inner protocol
+	TLS      *tls.Config // towards entries; nil dials them in plain text
+	FleetKey string      // shared key of the fleet, sent in Hello
+
+	Service     string // "member/service"
+	Worker      string // lower-case letters, digits and dashes
+	Rack        string
+	Domain      string // failure domain
+	Region      string
+	Accelerator int // accelerators on the worker
+	Slots       int // tasks on the upstream at once
+
+	Upstream      string        // http://host:port
+	Path          string        // path of the service, to which tasks are posted
+	HealthPath    string        // path that answers 2xx while healthy; empty only connects
+	HealthEvery   time.Duration // period of the health check
+	HealthTimeout time.Duration // bound on one health check
+	Connections   int           // to the upstream at once, at least 2
+	UpstreamIdle  time.Duration // idle time after which a connection is closed
+	MaxAnswer     int           // bytes of one upstream answer
+
+	Admin    string           // loopback host:port of the admin HTTP; empty for none
+	Metrics  http.Handler     // serves /metrics on the admin HTTP; may be nil
+	Registry metrics.Registry // receives the counters; nil makes a private one
+	Logger   *log.Logger      // nil discards
+	Software string           // version of the binary
+	Ledger   ledger.Options   // bounds of memory and waiting; Slots and Member are set from above
+	Seed     uint64           // of the jitter in reconnecting
+
+	// Dial opens a link to an entry; nil dials a WebSocket.
+	Dial func(ctx context.Context, addr string) (wire.Link, error)
+	// DialUpstream opens a connection to the upstream; nil dials TCP.
+	DialUpstream func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Slots, ledger.DefaultSlots)
+	setDefault(&o.Connections, DefaultConnections)
+	setDefault(&o.HealthEvery, DefaultHealthEvery)
+	setDefault(&o.HealthTimeout, DefaultHealthTimeout)
+	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
+	setDefault(&o.UpstreamIdle, DefaultUpstreamIdle)
+	setDefault(&o.Path, "/")
+	o.Ledger.Slots = o.Slots
+	o.Ledger.Member, _, _ = strings.Cut(o.Service, "/")
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	if o.Logger == nil {
+		o.Logger = log.New(io.Discard)
+	}
+	if o.Dial == nil {
+		o.Dial = socketDialer(o.TLS)
+	}
+	if o.DialUpstream == nil {
+		o.DialUpstream = new(net.Dialer).DialContext
+	}
+	return o
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// check reports the first option that cannot work.
+func (o Options) check() error {
+	member, service, ok := strings.Cut(o.Service, "/")
+	if !ok || member == "" || service == "" {
+		return fmt.Errorf("service %q: want member/service", o.Service)
+	}
+	if !workerForm.MatchString(o.Worker) {
+		return fmt.Errorf("worker %q: want 1 to 50 lower-case letters, digits and dashes", o.Worker)
+	}
+	if len(o.Entries) == 0 {
+		return errors.New("entries: none given")
+	}
+	if o.Slots < 1 || o.Connections < 2 {
+		return fmt.Errorf("slots %d, connections %d: want at least 1 and 2", o.Slots, o.Connections)
+	}
+	if o.MaxAnswer < 1 || o.MaxAnswer > wire.MaxFrame-frameMargin {
+		return fmt.Errorf("largest answer %d bytes: want 1 to %d", o.MaxAnswer, wire.MaxFrame-frameMargin)
+	}
+	return o.checkUpstream()
+}
+
+// checkUpstream also refuses https: the proof that a request was never written
+// counts bytes on the plain connection, and the upstream is on the same worker.
+func (o Options) checkUpstream() error {
+	u, err := url.Parse(o.Upstream)
+	if err != nil || u.Scheme != "http" || u.Host == "" || u.Path != "" && u.Path != "/" {
+		return fmt.Errorf("upstream %q: want http://host:port", o.Upstream)
+	}
+	for _, path := range []string{o.Path, o.HealthPath} {
+		if path != "" && !strings.HasPrefix(path, "/") {
+			return fmt.Errorf("path %q: want a leading slash", path)
+		}
+	}
+	return nil
+}
