--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,8 +46,9 @@
 	Resolve(member string, s *submission) (service string, limits ServiceLimits, err *errkind.Error)
 	// Policy gives the policy of a service.
 	Policy(service string) dispatch.Policy
-	// Subscribe calls f after each new snapshot, one call at a time.
-	Subscribe(f func())
+	// Watch calls f after each change of the snapshot, one call at a time, until
+	// ctx ends.
+	Watch(ctx context.Context, f func())
 }
 
 // Options configures a Server. Zero limits take defaults.
@@ -122,7 +123,7 @@
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.readFigures()
-	s.config.Subscribe(s.configChanged)
+	go s.config.Watch(s.ctx, s.configChanged)
 	return s
 }
 
