replay: an event queue that drives the real cores and ledgers

Cause: decisions have to be measured, and promises checked, on the code that runs, under a clock that can be repeated. Change: worlds of entries and guards with delays, kills, pauses, cuts and resets; invariants that every replay checks; an ideal central queue; generated workloads; a comparison in parallel that gives the same figures each time. Also in sched, not yet used: learned run times, admission, quota, budget, quarantine.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeontray/internal/errkind"
+	"wigeontray/internal/sched"
 	"wigeontray/internal/wire"
 )
 
@@ -38,18 +39,9 @@
 	slowest time.Duration
 }
 
-// Spacing of a job's tasks in the queue. The k-th task is ordered as if it had
-// arrived k spacings after the job, so that small jobs overtake the tail of a
-// big one. Half of the time left bounds it: the tail is still due well before
-// the deadline, and later arrivals cannot push it past that.
-const (
-	maxSpacing  = 5 * time.Millisecond
-	spacingPart = 2
-)
-
 func newJob(s *Spec, now time.Time) *job {
 	j := &job{spec: s, tasks: make([]task, len(s.Tasks)), open: len(s.Tasks)}
-	spacing := min(maxSpacing, s.Deadline.Sub(now)/time.Duration(spacingPart*len(s.Tasks)))
+	spacing := sched.Spacing(s.Deadline.Sub(now), len(s.Tasks))
 	for i := range j.tasks {
 		due := now.Add(time.Duration(i) * spacing)
 		j.tasks[i] = task{job: j, index: i, due: due.UnixNano()}
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -11,9 +11,32 @@
 	WeighMessages                  // fewest messages first (Leeuwin)
 )
 
+// String gives the weighting's word.
+func (w Weighting) String() string { return [...]string{"response", "messages"}[w] }
+
+// Placement is a way of choosing workers. All but Chosen are there to be
+// measured against.
+type Placement uint8
+
+// Placements.
+const (
+	Chosen         Placement = iota // what the product uses; see docs/decisions.md
+	Random                          // any worker; its guard queues
+	TwoChoices                      // of two, the one with fewer tasks of this entry; its guard queues
+	TwoChoicesLoad                  // of two, the one with the lower load by replies; its guard queues
+	LeastKnown                      // least load by replies; refused Busy when full
+	LateBinding                     // only on an offered slot
+)
+
+// String gives the placement's word.
+func (p Placement) String() string {
+	return [...]string{"chosen", "random", "two-choices", "two-choices-load", "least-known", "late-binding"}[p]
+}
+
 // Policy is what operators set for one service, already resolved from records.
 type Policy struct {
 	Weighting Weighting
+	Placement Placement
 	// Entries is how many entries share the quotas; at least 1.
 	Entries int
 	// Domain is the failure domain of this entry.
--- /dev/null
+++ b/internal/replay/clock.go
@@ -0,0 +1,64 @@
+package replay
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the moment zero of every replay.
+var epoch = time.Unix(1_790_000_000, 0)
+
+// clock is the event queue: it runs events in order of time, and equal times
+// in the order in which they were added.
+type clock struct {
+	now   time.Time
+	queue eventHeap
+	seq   uint64
+}
+
+type event struct {
+	when time.Time
+	seq  uint64
+	run  func()
+}
+
+// at runs f at the moment t, or now if t has passed.
+func (c *clock) at(t time.Time, f func()) {
+	if t.Before(c.now) {
+		t = c.now
+	}
+	c.seq++
+	heap.Push(&c.queue, event{when: t, seq: c.seq, run: f})
+}
+
+func (c *clock) after(d time.Duration, f func()) { c.at(c.now.Add(d), f) }
+
+// step runs the next event that is due by end.
+func (c *clock) step(end time.Time) bool {
+	if len(c.queue) == 0 || c.queue[0].when.After(end) {
+		return false
+	}
+	e := heap.Pop(&c.queue).(event)
+	c.now = e.when
+	e.run()
+	return true
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].when.Equal(h[j].when) {
+		return h[i].when.Before(h[j].when)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/internal/replay/compare.go
@@ -0,0 +1,133 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	"wigeontray/internal/dispatch"
+)
+
+// Placements in the order of the comparison.
+var placements = []dispatch.Placement{
+	dispatch.Random, dispatch.TwoChoices, dispatch.TwoChoicesLoad,
+	dispatch.LeastKnown, dispatch.LateBinding, dispatch.Chosen,
+}
+
+// run is one cell of the comparison.
+type run struct {
+	trace *Trace
+	opt   Options
+}
+
+// CompareOptions chooses what Compare runs. Zero means everything.
+type CompareOptions struct {
+	Seed   uint64
+	Only   string   // part of a trace's or placement's name
+	Traces []*Trace // besides the generated workloads
+	JSON   bool
+}
+
+// Compare replays every workload under every placement and writes the figures.
+// The same seed gives the same figures.
+func Compare(out io.Writer, opt CompareOptions) error {
+	reports, err := runAll(matrix(opt))
+	if err != nil {
+		return err
+	}
+	if opt.JSON {
+		return writeJSON(out, reports)
+	}
+	return writeTable(out, reports)
+}
+
+// matrix lists the runs: each site's workloads under each placement with the
+// site's own weighting, and the chosen one under the other weighting too.
+func matrix(opt CompareOptions) []run {
+	var out []run
+	for _, site := range []Site{Ayni, Leeuwin} {
+		for _, t := range Scenarios(site) {
+			out = append(out, variants(t, opt)...)
+		}
+	}
+	for _, t := range opt.Traces {
+		out = append(out, variants(t, opt)...)
+	}
+	return out
+}
+
+func variants(t *Trace, opt CompareOptions) []run {
+	var out []run
+	other := dispatch.WeighMessages
+	if t.Policy.Weighting == other {
+		other = dispatch.WeighResponse
+	}
+	for _, p := range placements {
+		if strings.Contains(t.Name, opt.Only) || strings.Contains(p.String(), opt.Only) {
+			out = append(out, run{t, Options{Seed: opt.Seed, Placement: &p}})
+		}
+	}
+	if strings.Contains(t.Name, opt.Only) {
+		out = append(out, run{t, Options{Seed: opt.Seed, Weighting: &other}})
+	}
+	return out
+}
+
+// runAll replays in parallel; the order of the reports is that of the runs.
+func runAll(runs []run) ([]*Report, error) {
+	reports, errs := make([]*Report, len(runs)), make([]error, len(runs))
+	var wg sync.WaitGroup
+	turn := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i, r := range runs {
+		wg.Go(func() {
+			turn <- struct{}{}
+			defer func() { <-turn }()
+			reports[i], errs[i] = Run(r.trace, r.opt)
+		})
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return reports, nil
+}
+
+func writeJSON(out io.Writer, reports []*Report) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(reports); err != nil {
+		return fmt.Errorf("write reports: %w", err)
+	}
+	return nil
+}
+
+func writeTable(out io.Writer, reports []*Report) error {
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "trace\tplacement\tweighting\tjobs\tserved\tover ideal p50\tp95\tp99\tover fair p50\tp99\tms p50\tp99\tmsg/task\twasted\tutil\tgoodput\tfair\tfailing\tlate ms\teven s\tpeak\trefusals\tretries\tchecks")
+	for _, r := range reports {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.2f%%\t%.3f\t%.3f\t%.3f\t%.2f%%\t%.0f\t%.0f\t%.2f\t%s\t%s\t%s\n",
+			r.Trace, r.Placement, r.Weighting, r.Jobs, r.Served,
+			r.OverIdeal.P50, r.OverIdeal.P95, r.OverIdeal.P99, r.OverFair.P50, r.OverFair.P99,
+			r.ResponseMs.P50, r.ResponseMs.P99, r.MessagesPerTask, 100*r.Wasted,
+			r.Utilisation, r.Goodput, r.Fairness, 100*r.FailingShare, r.LateMs, r.EvenAfter, r.HerdPeak,
+			counts(r.Refusals), counts(r.Retries), r.checks())
+	}
+	if err := tw.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+// checks tells in a word whether the replay's promises and outcomes held.
+func (r *Report) checks() string {
+	if r.OK() {
+		return "ok"
+	}
+	return fmt.Sprintf("%d broken, %d unmet", len(r.Violations), len(r.Unmet))
+}
--- /dev/null
+++ b/internal/replay/ideal.go
@@ -0,0 +1,98 @@
+package replay
+
+import (
+	"container/heap"
+	"time"
+
+	"wigeontray/internal/sched"
+)
+
+// ideal gives the response time of every job under one central queue with no
+// delay, no failure and no refusal, in order of arrival: the figure that no
+// real dispatcher with the same order reaches.
+func ideal(jobs []Event, slots int) map[string]time.Duration {
+	return central(jobs, slots, func(q *sched.Queue[centralTask], j *centralJob) {
+		for i := range j.req.Tasks {
+			q.Push("", 1, sched.Item[centralTask]{Value: centralTask{j, i}, Due: int64(j.arrived)})
+		}
+	})
+}
+
+// idealFair is ideal with the order of the product's own queue: fair over
+// teams, small jobs past the tail of big ones.
+func idealFair(jobs []Event, slots int) map[string]time.Duration {
+	return central(jobs, slots, func(q *sched.Queue[centralTask], j *centralJob) {
+		spacing := sched.Spacing(j.req.Deadline, len(j.req.Tasks))
+		for i := range j.req.Tasks {
+			due := int64(j.arrived + time.Duration(i)*spacing)
+			q.Push(j.req.Team, 1, sched.Item[centralTask]{Value: centralTask{j, i}, Due: due})
+		}
+	})
+}
+
+type centralJob struct {
+	name    string
+	req     *Request
+	arrived time.Duration
+	open    int
+}
+
+type centralTask struct {
+	job  *centralJob
+	task int
+}
+
+// completion is a run that ends at a moment.
+type completion struct {
+	at  time.Duration
+	job *centralJob
+}
+
+type completions []completion
+
+func (h completions) Len() int           { return len(h) }
+func (h completions) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h completions) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *completions) Push(x any)        { *h = append(*h, x.(completion)) }
+func (h *completions) Pop() any {
+	old := *h
+	c := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return c
+}
+
+func central(jobs []Event, slots int, push func(*sched.Queue[centralTask], *centralJob)) map[string]time.Duration {
+	var (
+		queue   sched.Queue[centralTask]
+		running completions
+		out     = make(map[string]time.Duration, len(jobs))
+	)
+	fill := func(now time.Duration) {
+		for len(running) < slots && queue.Len() > 0 {
+			t, _ := queue.Pop()
+			heap.Push(&running, completion{now + t.job.req.Tasks[t.task], t.job})
+		}
+	}
+	finish := func() {
+		c := heap.Pop(&running).(completion)
+		if c.job.open--; c.job.open == 0 {
+			out[c.job.name] = c.at - c.job.arrived
+		}
+		fill(c.at)
+	}
+	for i := range jobs {
+		ev := &jobs[i]
+		if ev.Op != OpSubmit {
+			continue
+		}
+		for len(running) > 0 && running[0].at <= ev.At {
+			finish()
+		}
+		push(&queue, &centralJob{ev.Target, ev.Request, ev.At, len(ev.Request.Tasks)})
+		fill(ev.At)
+	}
+	for len(running) > 0 {
+		finish()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sched/admit.go
@@ -0,0 +1,73 @@
+package sched
+
+import "time"
+
+// Demand is a job that asks to be admitted.
+type Demand struct {
+	Tasks    int
+	Left     time.Duration // until its deadline
+	Declared time.Duration // the caller's estimate of one run; 0 for none
+}
+
+// Supply is what an entry can give it.
+type Supply struct {
+	Free    int     // slots believed free
+	Waiting int     // tasks queued in front of the job
+	Rate    float64 // task starts a second that the job's queue gets; 0 if unknown
+	Runs    *RunTimes
+}
+
+// declaredMargin is how many times over a deadline a declared run time must be
+// before it alone refuses a job: the declared ones are off by a factor of 8.
+const declaredMargin = 10
+
+// Admit estimates how long the job would take. Beyond the time that it has
+// left, it is refused, and late tells by how much: coming back after that time
+// meets a shorter queue. An estimate errs towards admitting while nothing is
+// known.
+func Admit(d *Demand, s *Supply) (ok bool, late time.Duration) {
+	longest := s.Runs.Longest(d.Tasks)
+	if !s.Runs.Known() {
+		longest = d.Declared / declaredMargin
+	}
+	need := longest + Wait(s.Waiting+d.Tasks-s.Free, s.Rate)
+	return need <= d.Left, need - d.Left
+}
+
+// Wait is how long a queue of so many tasks takes to be started.
+func Wait(tasks int, rate float64) time.Duration {
+	if tasks <= 0 || rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tasks) / rate * float64(time.Second))
+}
+
+// rateMemory is the time constant over which Rate forgets.
+const rateMemory = 500 * time.Millisecond
+
+// Rate learns how many tasks an entry can start in a second while tasks wait:
+// its present share of the fleet, whatever the other entries take.
+type Rate struct {
+	PerSecond float64
+	since     time.Time
+	starts    int
+	open      bool // tasks were waiting at the last look
+}
+
+// Started notes one start.
+func (r *Rate) Started() { r.starts++ }
+
+// Look closes an interval. waiting tells whether tasks still wait; an interval
+// counts only when they did at both ends, as an idle entry starts less than it
+// could. nominal is the first estimate.
+func (r *Rate) Look(now time.Time, waiting bool, nominal float64) {
+	passed := now.Sub(r.since)
+	if r.PerSecond == 0 {
+		r.PerSecond = nominal
+	}
+	if r.open && waiting && passed > 0 {
+		w := min(1, passed.Seconds()/rateMemory.Seconds())
+		r.PerSecond += w * (float64(r.starts)/passed.Seconds() - r.PerSecond)
+	}
+	r.since, r.starts, r.open = now, 0, waiting
+}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -1,6 +1,24 @@
 package sched
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
+
+// Bounds of Spacing.
+const (
+	maxSpacing  = 5 * time.Millisecond
+	spacingPart = 2
+)
+
+// Spacing is by how much the Due of each task of a job lies after the one
+// before: the k-th task is ordered as if it had arrived k spacings after the
+// job, so that small jobs overtake the tail of a big one. Half of the time left
+// until the deadline bounds it; the tail is so still due well before the
+// deadline, and later arrivals cannot push it past that.
+func Spacing(left time.Duration, tasks int) time.Duration {
+	return min(maxSpacing, left/time.Duration(spacingPart*max(1, tasks)))
+}
 
 // Item is one waiting task in a Queue.
 type Item[T any] struct {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -11,6 +11,7 @@
 	Own    int32  // tasks of this entry that are sent and unanswered
 	Others int32  // tasks of other entries, by the last report
 	Slots  int32  // tasks that it runs at once
+	Limit  int32  // most tasks of this entry while it comes back; 0 for no limit
 	Domain uint16 // number of its failure domain
 	Rack   uint16 // number of its rack
 	State  State
@@ -23,7 +24,8 @@
 const (
 	Absent      State = iota
 	Usable            // takes tasks
-	Quarantined       // takes a probe now and then
+	Quarantined       // failed or slow; takes nothing until it is probed
+	Silent            // has not answered for long
 	Leaving           // announced a stop, or its link is down
 )
 
@@ -32,5 +34,9 @@
 	if w.State != Usable {
 		return 0
 	}
-	return w.Slots - w.Own - w.Others
+	free := w.Slots - w.Own - w.Others
+	if w.Limit > 0 {
+		free = min(free, w.Limit-w.Own)
+	}
+	return free
 }
