capacity: what a guard and a task cost on the wire and at an entry

The command links 10, 50, 200 and 820 guards of one goroutine each to a real entry and reads the entry's figures from its exposition, so that it measures an entry in another process as well as one in its own. Idle is measured while the fleet grows and before any task, as resident memory does not shrink. The idle window is one ping period; a shorter one would count pings of some links only.

telemetry reads the Go runtime's figures without stopping the process, and gains the live heap and the stacks.

--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,145 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"wigeontray/internal/identity"
+	"wigeontray/internal/telemetry"
+	"wigeontray/internal/wire"
+)
+
+// dialers bounds how many guards link at the same time.
+const dialers = 16
+
+// fleet is the set of lightweight guards.
+type fleet struct {
+	target *Target
+	client *http.Client
+	meter  *meter
+	frames wire.Traffic
+	guards []*guard
+}
+
+func newFleet(t *Target) *fleet {
+	f := &fleet{target: t, meter: newMeter()}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		var d net.Dialer
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return f.meter.wrap(c), nil
+	}
+	f.client = &http.Client{Transport: &http.Transport{DialContext: dial, TLSClientConfig: t.InnerTLS}}
+	return f
+}
+
+// resize links or ends guards until there are n.
+func (f *fleet) resize(ctx context.Context, n int) error {
+	if n < len(f.guards) {
+		end(f.guards[n:])
+		f.guards = f.guards[:n]
+		return nil
+	}
+	return f.grow(ctx, n)
+}
+
+// end closes guards' links, all at once: each close waits for its peer.
+func end(guards []*guard) {
+	for _, g := range guards {
+		g.close()
+	}
+	for _, g := range guards {
+		<-g.done
+	}
+}
+
+func (f *fleet) grow(ctx context.Context, n int) error {
+	first := len(f.guards)
+	fresh := make([]*guard, max(n-first, 0))
+	errs := make(chan error, len(fresh))
+	limit := make(chan struct{}, dialers)
+	var wg sync.WaitGroup
+	for i := range fresh {
+		limit <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-limit }()
+			g, err := f.link(ctx, first+i)
+			fresh[i] = g
+			errs <- err
+		})
+	}
+	wg.Wait()
+	close(errs)
+	for _, g := range fresh {
+		if g != nil {
+			f.guards = append(f.guards, g)
+		}
+	}
+	for err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// link dials the entry as guard number i and starts its goroutine.
+func (f *fleet) link(ctx context.Context, i int) (*guard, error) {
+	scheme := "ws://"
+	if f.target.InnerTLS != nil {
+		scheme = "wss://"
+	}
+	l, err := wire.Dial(ctx, scheme+f.target.Inner+wire.GuardPath, f.client, &f.frames)
+	if err != nil {
+		return nil, fmt.Errorf("guard %d: %w", i, err)
+	}
+	g := &guard{link: l, done: make(chan struct{})}
+	if err := g.greet(ctx, f.hello(i)); err != nil {
+		l.Close("no welcome")
+		return nil, fmt.Errorf("guard %d: %w", i, err)
+	}
+	go g.serve()
+	return g, nil
+}
+
+// Shape of the fleet in the brief and letter 1: three workers to a rack, six
+// failure domains.
+const (
+	perRack = 3
+	domains = 6
+)
+
+func (f *fleet) hello(i int) *wire.Hello {
+	worker := fmt.Sprintf("capacity-%d", i)
+	return &wire.Hello{
+		Version:     wire.Version,
+		MinVersion:  wire.MinVersion,
+		Incarnation: identity.NewIncarnation(worker),
+		Service:     f.target.Member + "/" + f.target.Service,
+		Worker:      worker,
+		Rack:        fmt.Sprintf("rack-%d", i/perRack),
+		Domain:      fmt.Sprintf("domain-%d", i%domains),
+		Slots:       slots,
+		Load:        wire.Load{Seq: 1, Slots: slots, Healthy: true},
+		Software:    telemetry.Version,
+		Key:         f.target.FleetKey,
+	}
+}
+
+func (f *fleet) traffic() traffic {
+	return traffic{
+		Frames:   f.frames.FramesIn.Load() + f.frames.FramesOut.Load(),
+		Bytes:    f.meter.bytes.Load(),
+		Segments: f.meter.segments(),
+	}
+}
+
+func (f *fleet) close() {
+	end(f.guards)
+	f.guards = nil
+}
--- /dev/null
+++ b/internal/capacity/line.go
@@ -0,0 +1,28 @@
+package capacity
+
+// Line is y = At0 + Slope*x.
+type Line struct {
+	At0   float64 `json:"at_0"`
+	Slope float64 `json:"per_guard"`
+}
+
+func (l Line) at(x float64) float64 { return l.At0 + l.Slope*x }
+
+// leastSquares fits a line through the points. With a single x the line is
+// flat.
+func leastSquares(xs, ys []float64) Line {
+	n := float64(len(xs))
+	var sx, sy, sxx, sxy float64
+	for i, x := range xs {
+		sx += x
+		sy += ys[i]
+		sxx += x * x
+		sxy += x * ys[i]
+	}
+	d := n*sxx - sx*sx
+	if d == 0 {
+		return Line{At0: sy / n}
+	}
+	slope := (n*sxy - sx*sy) / d
+	return Line{At0: (sy - slope*sx) / n, Slope: slope}
+}
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,194 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"wigeontray/internal/telemetry"
+)
+
+// Report is what Run measured. Bytes, frames and segments are those of both
+// directions together, as counted at the guards' end of the links.
+type Report struct {
+	Software string `json:"software"`
+	Cores    int    `json:"cores"`
+	// Shared: the entry's processor time and memory include the guards' and
+	// callers', as they run in one process.
+	Shared bool   `json:"shared"`
+	Sizes  []Size `json:"sizes"`
+	Slopes Slopes `json:"slopes"`
+}
+
+// Size is what was measured with one number of guards.
+type Size struct {
+	Guards int    `json:"guards"`
+	Idle   Idle   `json:"idle"`
+	Loads  []Load `json:"loads"`
+}
+
+// Idle is the cost of guards that have nothing to do.
+type Idle struct {
+	Seconds          float64 `json:"seconds"`
+	FramesPerGuard   float64 `json:"frames_per_guard_second"`
+	BytesPerGuard    float64 `json:"bytes_per_guard_second"`      // on the sockets
+	WirePerGuard     float64 `json:"wire_bytes_per_guard_second"` // with TCP and IP headers
+	SegmentsPerGuard float64 `json:"segments_per_guard_second"`
+	EntryCPU         float64 `json:"entry_cpu"` // share of one core
+	EntryResident    float64 `json:"entry_resident_bytes"`
+	EntryHeap        float64 `json:"entry_heap_live_bytes"`
+}
+
+// Load is the cost of tasks.
+type Load struct {
+	TasksPerJob     int     `json:"tasks_per_job"`
+	Seconds         float64 `json:"seconds"`
+	Tasks           int64   `json:"tasks"`
+	FailedJobs      int64   `json:"failed_jobs"`
+	LastFailure     string  `json:"last_failure,omitempty"`
+	TasksPerSecond  float64 `json:"tasks_per_second"`
+	CPUPerTask      float64 `json:"entry_cpu_us_per_task"`
+	FramesPerTask   float64 `json:"frames_per_task"`
+	BytesPerTask    float64 `json:"bytes_per_task"`
+	WirePerTask     float64 `json:"wire_bytes_per_task"`
+	SegmentsPerTask float64 `json:"segments_per_task"`
+	JobP50Ms        float64 `json:"job_p50_ms"`
+	JobP99Ms        float64 `json:"job_p99_ms"`
+	EntryResident   float64 `json:"entry_resident_bytes"`
+}
+
+// Slopes are least-squares lines over the number of guards.
+type Slopes struct {
+	IdleCPU      Line   `json:"idle_cpu"`             // share of a core
+	IdleWire     Line   `json:"idle_wire_bytes"`      // at the entry, per second
+	IdleResident Line   `json:"idle_resident_bytes"`  // at the entry
+	IdleHeap     Line   `json:"idle_heap_live_bytes"` // at the entry
+	CPUPerTask   []Line `json:"cpu_us_per_task"`      // one per load
+}
+
+func newReport(o *Options) *Report {
+	return &Report{Software: telemetry.Version, Cores: runtime.NumCPU(), Shared: o.Target.Shared}
+}
+
+func newIdle(guards int, before, after *sample) *Idle {
+	seconds := after.at.Sub(before.at).Seconds()
+	t := after.fleet.sub(before.fleet)
+	each := func(n int64) float64 { return float64(n) / seconds / float64(guards) }
+	return &Idle{
+		Seconds:          seconds,
+		FramesPerGuard:   each(t.Frames),
+		BytesPerGuard:    each(t.Bytes),
+		WirePerGuard:     each(t.wireBytes()),
+		SegmentsPerGuard: each(t.Segments),
+		EntryCPU:         (after.entry.CPU - before.entry.CPU) / seconds,
+		EntryResident:    after.entry.Resident,
+		EntryHeap:        after.entry.Heap,
+	}
+}
+
+func newLoad(c *callers, before, after *sample) *Load {
+	seconds := after.at.Sub(before.at).Seconds()
+	tasks := c.jobs.Load() * int64(c.tasks)
+	t := after.fleet.sub(before.fleet)
+	each := func(n float64) float64 {
+		if tasks == 0 {
+			return 0
+		}
+		return n / float64(tasks)
+	}
+	return &Load{
+		TasksPerJob:     c.tasks,
+		Seconds:         seconds,
+		Tasks:           tasks,
+		FailedJobs:      c.failed.Load(),
+		LastFailure:     c.last,
+		TasksPerSecond:  float64(tasks) / seconds,
+		CPUPerTask:      each((after.entry.CPU - before.entry.CPU) * 1e6),
+		FramesPerTask:   each(float64(t.Frames)),
+		BytesPerTask:    each(float64(t.Bytes)),
+		WirePerTask:     each(float64(t.wireBytes())),
+		SegmentsPerTask: each(float64(t.Segments)),
+		JobP50Ms:        milliseconds(c.percentile(0.5)),
+		JobP99Ms:        milliseconds(c.percentile(0.99)),
+		EntryResident:   after.entry.Resident,
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// fit computes the slopes.
+func (r *Report) fit() {
+	line := func(y func(s *Size) float64) Line {
+		var xs, ys []float64
+		for i := range r.Sizes {
+			xs = append(xs, float64(r.Sizes[i].Guards))
+			ys = append(ys, y(&r.Sizes[i]))
+		}
+		return leastSquares(xs, ys)
+	}
+	r.Slopes = Slopes{
+		IdleCPU:      line(func(s *Size) float64 { return s.Idle.EntryCPU }),
+		IdleWire:     line(func(s *Size) float64 { return s.Idle.WirePerGuard * float64(s.Guards) }),
+		IdleResident: line(func(s *Size) float64 { return s.Idle.EntryResident }),
+		IdleHeap:     line(func(s *Size) float64 { return s.Idle.EntryHeap }),
+	}
+	for i := range r.Sizes[0].Loads {
+		l := line(func(s *Size) float64 { return s.Loads[i].CPUPerTask })
+		r.Slopes.CPUPerTask = append(r.Slopes.CPUPerTask, l)
+	}
+}
+
+func (r *Report) writeJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(r); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+func (r *Report) writeTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	p := func(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) } // Flush reports
+	p("wigeontray %s, %d cores, entry in this process: %v\n", r.Software, r.Cores, r.Shared)
+	p("idle, per guard\tframes/s\tsegments/s\tsocket B/s\twire B/s\tentry core %%\tentry RSS MB\tentry heap MB\t")
+	for _, s := range r.Sizes {
+		i := s.Idle
+		p("%d guards\t%.3f\t%.3f\t%.2f\t%.2f\t%.3f\t%.1f\t%.1f\t", s.Guards, i.FramesPerGuard, i.SegmentsPerGuard,
+			i.BytesPerGuard, i.WirePerGuard, 100*i.EntryCPU, i.EntryResident/megabyte, i.EntryHeap/megabyte)
+	}
+	p("\t\t\t\t\t\t\t\t")
+	p("load\ttasks/job\ttasks/s\tfailed jobs\tentry us/task\tframes/task\tsocket B/task\twire B/task\tjob p50 ms\tjob p99 ms\t")
+	for _, s := range r.Sizes {
+		for _, l := range s.Loads {
+			p("%d guards\t%d\t%.0f\t%d\t%.1f\t%.2f\t%.0f\t%.0f\t%.2f\t%.2f\t", s.Guards, l.TasksPerJob, l.TasksPerSecond,
+				l.FailedJobs, l.CPUPerTask, l.FramesPerTask, l.BytesPerTask, l.WirePerTask, l.JobP50Ms, l.JobP99Ms)
+		}
+	}
+	r.writeSlopes(p)
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+const megabyte = 1e6
+
+func (r *Report) writeSlopes(p func(format string, args ...any)) {
+	s := &r.Slopes
+	p("\t\t\t\t")
+	p("line over guards\tat 0\tper guard\tat 820\t")
+	row := func(name, unit string, scale float64, l Line) {
+		p("%s\t%.3f\t%.6f\t%.3f\t%s", name, scale*l.At0, scale*l.Slope, scale*l.at(820), unit)
+	}
+	row("idle processor time", "% of a core", 100, s.IdleCPU)
+	row("idle traffic", "KB/s", 1e-3, s.IdleWire)
+	row("idle resident memory", "MB", 1/megabyte, s.IdleResident)
+	row("idle live heap", "MB", 1/megabyte, s.IdleHeap)
+	for i, l := range s.CPUPerTask {
+		row(fmt.Sprintf("processor time, %d tasks a job", r.Sizes[0].Loads[i].TasksPerJob), "us/task", 1, l)
+	}
+}
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -169,6 +169,8 @@
 var processFamilies = []Family{
 	{Name: "go_goroutines", Type: TypeGauge, Help: "Goroutines."},
 	{Name: "go_heap_bytes", Type: TypeGauge, Help: "Bytes of live and dead objects on the heap."},
+	{Name: "go_heap_live_bytes", Type: TypeGauge, Help: "Bytes of the heap that were reachable at the last collection."},
+	{Name: "go_stack_bytes", Type: TypeGauge, Help: "Memory of goroutines' stacks."},
 	{Name: "process_resident_memory_bytes", Type: TypeGauge, Help: "Resident memory."},
 	{Name: "process_cpu_seconds_total", Type: TypeCounter, Help: "User and system processor time."},
 	{Name: "process_start_time_seconds", Type: TypeGauge, Help: "Start of the process, in seconds of the Unix epoch."},
--- a/internal/telemetry/process.go
+++ b/internal/telemetry/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"runtime"
+	runtimemetrics "runtime/metrics"
 	"strconv"
 	"strings"
 	"syscall"
@@ -16,16 +17,25 @@
 // registerProcess adds the figures of the process, read at each scrape.
 func registerProcess(r metrics.Registry) {
 	metrics.NewRegisteredFunctionalGauge("go_goroutines", r, func() int64 { return int64(runtime.NumGoroutine()) })
-	metrics.NewRegisteredFunctionalGauge("go_heap_bytes", r, heapBytes)
+	metrics.NewRegisteredFunctionalGauge("go_heap_bytes", r, reader("/memory/classes/heap/objects:bytes"))
+	metrics.NewRegisteredFunctionalGauge("go_heap_live_bytes", r, reader("/gc/heap/live:bytes"))
+	metrics.NewRegisteredFunctionalGauge("go_stack_bytes", r, reader("/memory/classes/heap/stacks:bytes"))
 	metrics.NewRegisteredFunctionalGauge("process_resident_memory_bytes", r, ResidentBytes)
 	metrics.NewRegisteredFunctionalGaugeFloat64("process_cpu_seconds_total", r, func() float64 { return CPUTime().Seconds() })
 	metrics.NewRegisteredFunctionalGauge("process_start_time_seconds", r, startTime.Unix)
 }
 
-func heapBytes() int64 {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
+// reader gives a function that reads one figure of the Go runtime. Unlike
+// runtime.ReadMemStats it does not stop the process.
+func reader(name string) func() int64 {
+	return func() int64 {
+		s := []runtimemetrics.Sample{{Name: name}}
+		runtimemetrics.Read(s)
+		if s[0].Value.Kind() != runtimemetrics.KindUint64 {
+			return 0
+		}
+		return int64(s[0].Value.Uint64())
+	}
 }
 
 // CPUTime gives the user and system processor time of this process.
