telemetry: write what packages count on a plain go-metrics registry

The guard counts on go-metrics alone, under names with dots. Such figures belonged to no family and were left out of the exposition, so a scraper would have read a guard without refusals. They are written now with underscores.

--- a/internal/telemetry/exposition.go
+++ b/internal/telemetry/exposition.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -12,7 +14,10 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-const contentType = "text/plain; version=0.0.4; charset=utf-8"
+const (
+	contentType   = "text/plain; version=0.0.4; charset=utf-8"
+	foreignPrefix = "wigeontray_"
+)
 
 // ServeHTTP writes the exposition.
 func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
@@ -36,6 +41,7 @@
 func (r *Registry) write(b *bytes.Buffer) {
 	lines := make(map[string][]string)
 	r.metrics.Each(func(name string, metric any) {
+		name = exposed(name)
 		family, _, _ := strings.Cut(name, "{")
 		lines[family] = append(lines[family], figure(name, metric)...)
 	})
@@ -44,11 +50,28 @@
 		if f.Type != TypeHistogram { // buckets keep their order
 			sort.Strings(lines[f.Name])
 		}
-		for _, line := range lines[f.Name] {
-			b.WriteString(line)
-			b.WriteByte('\n')
-		}
+		writeLines(b, lines[f.Name])
+		delete(lines, f.Name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(lines)) {
+		writeLines(b, lines[name])
+	}
+}
+
+func writeLines(b *bytes.Buffer, lines []string) {
+	for _, line := range lines {
+		b.WriteString(line)
+		b.WriteByte('\n')
+	}
+}
+
+// exposed gives the name under which a figure is written. Packages that count
+// on a plain go-metrics registry use dots, which the format does not allow.
+func exposed(name string) string {
+	if strings.Contains(name, "{") || !strings.Contains(name, ".") {
+		return name
 	}
+	return foreignPrefix + strings.ReplaceAll(name, ".", "_")
 }
 
 // figure gives the lines of one registered metric.
--- a/internal/telemetry/registry.go
+++ b/internal/telemetry/registry.go
@@ -53,6 +53,11 @@
 	metrics.NewRegisteredGauge(labelled(buildName, "version", Version), r.metrics).Update(1)
 }
 
+// GoMetrics is the registry underneath, for packages that count on go-metrics
+// alone. A name with dots is written with underscores and the prefix
+// "wigeontray_".
+func (r *Registry) GoMetrics() metrics.Registry { return r.metrics }
+
 // labelled gives the name under which a figure with a label is registered; it
 // is also the form in which the exposition writes it.
 func labelled(family, label, value string) string {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"wigeontray/internal/errkind"
 )
@@ -32,6 +33,7 @@
 	r.Observe(JobLatency, time.Minute)
 	r.ReadCounter(BytesIn, func() int64 { return 77 })
 	r.ReadGauge(Guards, func() int64 { return 11 })
+	metrics.GetOrRegisterCounter("guard.refused.busy", r.GoMetrics()).Inc(4)
 	out := text(c, r)
 	for _, want := range []string{
 		"# TYPE wigeontray_refusals_total counter\n",
@@ -40,6 +42,7 @@
 		`wigeontray_task_failures_total{kind="worker_lost"} 1` + "\n",
 		`wigeontray_retries_total{reason="draining"} 1` + "\n",
 		"\nwigeontray_jobs_accepted_total 1\n",
+		"\nwigeontray_guard_refused_busy 4\n",
 		"\nwigeontray_slots 88\n",
 		"\nwigeontray_bytes_in_total 77\n",
 		"\nwigeontray_guards 11\n",
