--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"wigeontray/internal/identity"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 )
@@ -45,16 +46,48 @@
 	if !s.links.add(g) {
 		return
 	}
-	defer s.links.remove(g)
-	l := s.lane(hello.Service)
-	l.up(g)
 	s.log.Info("guard up", "guard", hello.Incarnation, "service", hello.Service, "worker", hello.Worker, "slots", hello.Slots)
+	s.metrics.Inc(telemetry.LinksOpened)
 	s.shareConfig(link, hello.Revision)
+	s.router.GuardUp(hello.Incarnation)
+	l := s.lane(hello.Service)
 	err = s.pump(ctx, l, g)
 	l.down(g)
+	s.metrics.Inc(telemetry.LinksLost)
+	if s.links.remove(g) {
+		s.router.GuardDown(hello.Incarnation)
+		time.AfterFunc(forgetAfter, func() { s.forget(hello.Incarnation) })
+	}
 	s.log.Info("guard down", "guard", hello.Incarnation, "err", err)
 }
 
+// forgetAfter is how long a guard's link may be down before the entry gives up
+// on the guard. It exceeds the time for which tasks in doubt are held.
+const forgetAfter = 30 * time.Second
+
+// forget gives up on a guard that has not come back.
+func (s *Server) forget(g identity.Incarnation) {
+	if !s.links.has(g) && s.ctx.Err() == nil {
+		s.metrics.Inc(telemetry.GuardsLost)
+		s.router.GuardLost(g)
+	}
+}
+
+// GuardReady lets the lane use a linked guard. The router calls it once those
+// that would have to answer for this entry after its death know of the guard.
+func (s *Server) GuardReady(id identity.Incarnation) {
+	g := s.links.get(id)
+	if g == nil {
+		return
+	}
+	l := s.lane(g.hello.Service)
+	l.up(g)
+	// The link may have ended between the two, after its own l.down.
+	if s.links.get(id) != g {
+		l.down(g)
+	}
+}
+
 // greet reads and checks the Hello and answers it.
 func (s *Server) greet(ctx context.Context, link wire.Link) (*wire.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -44,22 +44,29 @@
 
 // soleRouter is a roster of one entry: plain keys are its own, and other
 // homes are gone.
-type soleRouter struct{ id identity.Incarnation }
+type soleRouter struct {
+	id    identity.Incarnation
+	ready func(identity.Incarnation)
+}
 
-func (r soleRouter) Owner(_ string, k identity.Key) (identity.Incarnation, *errkind.Error) {
+func (r *soleRouter) MayStart(string, identity.Key) *errkind.Error { return nil }
+func (r *soleRouter) GuardUp(g identity.Incarnation)               { r.ready(g) }
+func (r *soleRouter) GuardDown(identity.Incarnation)               {}
+func (r *soleRouter) GuardLost(identity.Incarnation)               {}
+func (r *soleRouter) Owner(_ string, k identity.Key) (identity.Incarnation, *errkind.Error) {
 	if k.Home != "" {
 		return k.Home, nil
 	}
 	return r.id, nil
 }
-func (r soleRouter) Forward(context.Context, identity.Incarnation, *wire.Forward) (*wire.Forwarded, error) {
+func (r *soleRouter) Forward(context.Context, identity.Incarnation, *wire.Forward) (*wire.Forwarded, error) {
 	return nil, errkind.New(errkind.HomeUnreachable, "no peers")
 }
-func (r soleRouter) Recover(context.Context, identity.Incarnation, string, identity.Key) *Recovered {
+func (r *soleRouter) Recover(context.Context, identity.Incarnation, string, identity.Key) *Recovered {
 	return &Recovered{Err: errkind.New(errkind.OutcomeUnknown, "the home is gone")}
 }
-func (r soleRouter) Entries() []wire.EntryAddr                   { return nil }
-func (r soleRouter) FromGuard(identity.Incarnation, *wire.Frame) {}
+func (r *soleRouter) Entries() []wire.EntryAddr                   { return nil }
+func (r *soleRouter) FromGuard(identity.Incarnation, *wire.Frame) {}
 
 // bench is one entry with guards that the test plays.
 type bench struct {
@@ -71,10 +78,12 @@
 
 func newBench(t *testing.T) *bench {
 	const id = "entry-a-000001"
+	router := &soleRouter{id: id}
 	s := New(Options{
-		ID: id, Config: &fixedConfig{revision: 7}, Router: soleRouter{id},
+		ID: id, Config: &fixedConfig{revision: 7}, Router: router,
 		Metrics: telemetry.New(), Log: log.New(io.Discard), FleetKey: "fleet",
 	})
+	router.ready = s.GuardReady
 	t.Cleanup(s.Close)
 	return &bench{C: qt.New(t), t: t, s: s, handler: s.Handler()}
 }
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -32,15 +32,26 @@
 	return true
 }
 
-func (t *linkTable) remove(g *guardLink) {
+// remove takes g out; false if a newer link has replaced it.
+func (t *linkTable) remove(g *guardLink) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.links[g.hello.Incarnation] == g {
-		delete(t.links, g.hello.Incarnation)
-		delete(t.revs, g.hello.Incarnation)
+	if t.links[g.hello.Incarnation] != g {
+		return false
 	}
+	delete(t.links, g.hello.Incarnation)
+	delete(t.revs, g.hello.Incarnation)
+	return true
+}
+
+func (t *linkTable) get(id identity.Incarnation) *guardLink {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.links[id]
 }
 
+func (t *linkTable) has(id identity.Incarnation) bool { return t.get(id) != nil }
+
 func (t *linkTable) acked(g *guardLink, revision int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/internal/entry/peerrouter.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"wigeontray/internal/dispatch"
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/peers"
+	"wigeontray/internal/recovery"
+	"wigeontray/internal/wire"
+)
+
+// PeerRouter is the Router over the entries of a region.
+type PeerRouter struct {
+	*peers.Peers
+}
+
+// NewPeerRouter ties a group of peers to a server that is made after it. The
+// hooks that need the server wait until Bind.
+func NewPeerRouter(o peers.Options) (*PeerRouter, func(*Server)) {
+	var s *Server
+	bound := make(chan struct{})
+	o.OnForward = func(ctx context.Context, _ identity.Incarnation, f *wire.Forward) *wire.Forwarded {
+		<-bound
+		return s.ServeForward(ctx, f)
+	}
+	o.ToGuard = func(g identity.Incarnation, f *wire.Frame) {
+		<-bound
+		s.links.send(g, f)
+	}
+	o.OnGuardReady = func(g identity.Incarnation) {
+		<-bound
+		s.GuardReady(g)
+	}
+	o.Revision = func() int64 { <-bound; return s.config.Revision() }
+	o.Config = func() *wire.Config { <-bound; return s.config.Encoded() }
+	o.OnConfig = func(c *wire.Config) { <-bound; s.config.Offer(c) }
+	r := &PeerRouter{Peers: peers.New(o)}
+	return r, func(server *Server) {
+		s = server
+		close(bound)
+	}
+}
+
+// Owner implements Router.
+func (r *PeerRouter) Owner(member string, key identity.Key) (identity.Incarnation, *errkind.Error) {
+	owner, _, ok := r.View().Owner(member, key)
+	if ok {
+		return owner, nil
+	}
+	// Nobody owns the birth; asking for permission says why.
+	if err := r.MayStart(member, key); err != nil {
+		return "", err
+	}
+	return "", errkind.New(errkind.HomeUnreachable, "the roster is changing")
+}
+
+// Recover implements Router.
+func (r *PeerRouter) Recover(ctx context.Context, home identity.Incarnation, member string, key identity.Key) *Recovered {
+	f := r.Peers.Recover(ctx, recovery.Job{Member: member, Key: key.Text, BirthMs: key.BirthMs, Home: home})
+	if f.Verdict != recovery.Whole {
+		return &Recovered{Err: f.Err()}
+	}
+	out := &Recovered{Results: make([]dispatch.TaskResult, len(f.Results))}
+	for i, res := range f.Results {
+		out.Results[i] = dispatch.TaskResult{Status: res.Status, Body: res.Body}
+	}
+	return out
+}
+
+// FromGuard implements Router.
+func (r *PeerRouter) FromGuard(g identity.Incarnation, f *wire.Frame) {
+	switch {
+	case f.FenceReport != nil:
+		r.GuardReport(g, f.FenceReport)
+	case f.Collected != nil:
+		r.GuardCollected(g, f.Collected)
+	}
+}
+
+// Handler accepts links from peers.
+func (r *PeerRouter) Handler() http.Handler { return r.Peers.Handler() }
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -26,13 +26,22 @@
 	// Owner gives the entry that alone may start key. The error is final for
 	// this request and says why nothing was started.
 	Owner(member string, key identity.Key) (identity.Incarnation, *errkind.Error)
+	// MayStart tells whether this entry may start key: nil for good, or a
+	// refusal that may be lifted later. It is asked before a job is admitted.
+	MayStart(member string, key identity.Key) *errkind.Error
 	// Forward passes a request to its owner. It fails with HomeUnreachable
 	// when no answer came.
 	Forward(ctx context.Context, to identity.Incarnation, f *wire.Forward) (*wire.Forwarded, error)
-	// Recover answers for an owner that is gone: what guards can prove.
-	Recover(ctx context.Context, gone identity.Incarnation, member string, key identity.Key) *Recovered
+	// Recover answers for an owner that cannot be reached: what guards can prove.
+	Recover(ctx context.Context, home identity.Incarnation, member string, key identity.Key) *Recovered
 	// Entries lists the entries that guards should link to.
 	Entries() []wire.EntryAddr
+	// GuardUp notes a linked guard; Server.GuardReady follows once it may be
+	// used. GuardDown notes a lost link, and GuardLost that this entry will
+	// send nothing more to a guard unless it becomes ready anew.
+	GuardUp(g identity.Incarnation)
+	GuardDown(g identity.Incarnation)
+	GuardLost(g identity.Incarnation)
 	// FromGuard takes a FenceReport or Collected.
 	FromGuard(g identity.Incarnation, f *wire.Frame)
 }
@@ -71,23 +80,59 @@
 	return s.forward(ctx, owner, q)
 }
 
-// forward passes the request on. The caller's patience and the link's bound the
-// wait; after a failure nothing is known of the outcome, unless the owner is
-// gone for good and guards can tell.
+// Bounds on waiting for another entry.
+const (
+	forwardMargin  = 500 * time.Millisecond // beyond the job's own deadline
+	recoverTimeout = 2 * time.Second
+)
+
+// forward passes the request on. The job's deadline bounds the wait: an owner
+// that is frozen answers nothing, and its link looks alive for a while. After a
+// failure nothing is known of the outcome, unless the owner is gone for good
+// and guards can tell.
 func (s *Server) forward(ctx context.Context, owner identity.Incarnation, q *request) reply {
+	bound, refusal := s.forwardBound(q)
+	if refusal != nil {
+		return errorReply(q.key.Text, refusal)
+	}
 	s.metrics.Inc(telemetry.JobsForwarded)
 	f := &wire.Forward{Op: q.op, Member: q.member, Key: q.key.Text, WaitMs: q.wait.Milliseconds(), Body: q.body}
-	got, err := s.router.Forward(ctx, owner, f)
+	sent, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	got, err := s.router.Forward(sent, owner, f)
 	if err == nil {
 		return reply{status: got.Status, body: got.Body, after: time.Duration(got.AfterMs) * time.Millisecond, kind: got.Kind}
 	}
 	s.metrics.Retried(telemetry.RetryForward)
+	return s.recover(ctx, owner, q)
+}
+
+// forwardBound is how long the owner may take to answer.
+func (s *Server) forwardBound(q *request) (time.Duration, *errkind.Error) {
+	if q.op != wire.OpSubmit {
+		return min(q.wait, s.opts.MaxDeadline) + forwardMargin, nil
+	}
+	sub, err := parseSubmission(q.body)
+	if err != nil {
+		return 0, err
+	}
+	bound := s.opts.MaxDeadline
+	if sub.DeadlineMs > 0 {
+		bound = min(bound, time.Duration(sub.DeadlineMs)*time.Millisecond)
+	}
+	return bound + forwardMargin, nil
+}
+
+// recover answers for an owner that did not.
+func (s *Server) recover(ctx context.Context, owner identity.Incarnation, q *request) reply {
+	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
+	defer cancel()
 	found := s.router.Recover(ctx, owner, q.member, q.key)
-	if found.Results != nil {
-		o := &dispatch.Outcome{ID: dispatch.JobID{Member: q.member, Key: q.key.Text}, Results: found.Results}
-		return answerReply(outcomeAnswer(q.key.Text, o))
+	if found.Results == nil {
+		return errorReply(q.key.Text, found.Err)
 	}
-	return errorReply(q.key.Text, found.Err)
+	o := &dispatch.Outcome{ID: dispatch.JobID{Member: q.member, Key: q.key.Text}, Results: found.Results}
+	return answerReply(outcomeAnswer(q.key.Text, o))
 }
 
 // ServeForward answers a request that another entry passed on.
@@ -131,8 +176,17 @@
 	if err != nil {
 		return errorReply(q.key.Text, err)
 	}
+	// A refusal here can be lifted later, so it leaves no record. A job that has
+	// a record was allowed before, and for good.
+	if !s.registry.Known(q.member, q.key) {
+		if err := s.router.MayStart(q.member, q.key); err != nil {
+			s.metrics.Refused(err.Kind)
+			return errorReply(q.key.Text, err)
+		}
+	}
 	rec, fresh, err := s.registry.Admit(time.Now(), q.member, q.key, sub.fingerprint())
 	if err != nil {
+		s.metrics.Refused(err.Kind)
 		return errorReply(q.key.Text, err)
 	}
 	defer rec.Release()
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -73,6 +73,15 @@
 	return r.shard(member).admit(now, member, key, f)
 }
 
+// Known tells whether a record of the identity is held.
+func (r *Registry) Known(member string, key identity.Key) bool {
+	s := r.shard(member)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.records[key.Text]
+	return ok
+}
+
 // Find returns the record of an identity that this entry owns, held for the
 // caller until its Release. Its errors are NotFound, for one it has never seen and could still accept, and
 // IdentityExpired, for one it can no longer vouch for.
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,221 @@
+// Package node puts the parts of a process together: an entry by its settings,
+// a guard by its settings, or everything in one process for the quickstart. It
+// owns the order of starting and stopping, and nothing else.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"wigeontray/internal/confsync"
+	"wigeontray/internal/entry"
+	"wigeontray/internal/httpserve"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/jobs"
+	"wigeontray/internal/settings"
+	"wigeontray/internal/store"
+	"wigeontray/internal/telemetry"
+	"wigeontray/internal/wire"
+)
+
+// lameDuck is how long a stopping entry goes on taking requests after it has
+// become not ready. Balancers probe about once a second; a shorter time would
+// refuse requests that were sent here in good faith.
+const lameDuck = 3 * time.Second
+
+// flushTime lets answers and goodbyes reach the wire before links close.
+const flushTime = 200 * time.Millisecond
+
+// Entry is an entry process.
+type Entry struct {
+	set     *settings.Entry
+	log     *log.Logger
+	metrics *telemetry.Registry
+	sync    *confsync.Sync
+	server  *entry.Server
+	router  router
+
+	callers, inner, admin *httpserve.Server
+	// LameDuck is as the constant; tests and the quickstart shorten it.
+	LameDuck time.Duration
+}
+
+// router is what the entry needs of its peers, with a life of its own.
+type router interface {
+	entry.Router
+	Run(ctx context.Context) error
+	// Leave takes this entry out of the roster, for a planned stop.
+	Leave(ctx context.Context) error
+	Handler() http.Handler
+	Status() any
+}
+
+// NewEntry opens the listeners and builds an entry. transport replaces the
+// network towards the store; nil for the usual one.
+func NewEntry(set *settings.Entry, transport http.RoundTripper, logs io.Writer) (*Entry, error) {
+	logger, err := telemetry.NewLogger(set.Log.Format, set.Log.Level, logs)
+	if err != nil {
+		return nil, err
+	}
+	key, err := set.Fleet.Key()
+	if err != nil {
+		return nil, fmt.Errorf("fleet key: %w", err)
+	}
+	e := &Entry{set: set, log: logger, metrics: telemetry.New(), LameDuck: lameDuck}
+	registry := metrics.NewRegistry()
+	kv := store.NewEtcd(store.Options{
+		Endpoints: set.Store.Endpoints, Timeout: set.Store.Timeout,
+		CallsPerSecond: float64(set.Store.CallsPerSecond), Registry: registry, Transport: transport,
+	})
+	e.sync = confsync.New(confsync.Options{Store: kv, Registry: registry, Logger: logger, VerifyEvery: set.Store.VerifyEvery})
+	if err := e.listen(kv, key, registry); err != nil {
+		return nil, errors.Join(err, e.closeListeners())
+	}
+	return e, nil
+}
+
+// listen builds the server and opens its three listeners. The inner address is
+// opened first, as peers are told of it.
+func (e *Entry) listen(kv store.Store, key string, registry metrics.Registry) error {
+	inner := http.NewServeMux()
+	innerTLS, err := e.set.TLS.Server(true)
+	if err != nil {
+		return err
+	}
+	if e.inner, err = httpserve.Listen(e.set.Inner, inner, innerTLS, httpserve.DefaultLimits()); err != nil {
+		return err
+	}
+	self := wire.EntryAddr{
+		Incarnation: identity.NewIncarnation(e.set.Name),
+		Inner:       advertised(e.set, e.inner.Addr()),
+		Domain:      e.set.FailureDomain,
+	}
+	if err := e.build(self, kv, key, registry); err != nil {
+		return err
+	}
+	inner.Handle(wire.GuardPath, e.server.InnerHandler())
+	inner.Handle(wire.PeerPath, e.router.Handler())
+	callersTLS, err := e.set.TLS.Server(false)
+	if err != nil {
+		return err
+	}
+	if e.callers, err = httpserve.Listen(e.set.Callers, e.server.Handler(), callersTLS, e.callerLimits()); err != nil {
+		return err
+	}
+	e.admin, err = httpserve.Listen(e.set.Admin, e.server.AdminHandler(), nil, httpserve.DefaultLimits())
+	return err
+}
+
+// advertised is where others reach the inner listener: the configured address,
+// or the one that was opened where the configuration leaves the port open.
+func advertised(set *settings.Entry, opened string) string {
+	if set.AdvertiseInner != "" && set.AdvertiseInner != set.Inner {
+		return set.AdvertiseInner
+	}
+	return opened
+}
+
+func (e *Entry) callerLimits() httpserve.Limits {
+	l := httpserve.DefaultLimits()
+	l.HeaderTimeout = e.set.Limits.HeaderTimeout
+	l.IdleTimeout = e.set.Limits.IdleTimeout
+	l.Connections = int(e.set.Limits.Connections)
+	return l
+}
+
+func (e *Entry) jobLimits() jobs.Limits {
+	l := jobs.DefaultLimits()
+	l.Retention = e.set.Limits.Retention
+	l.AnswerBytes = e.set.Limits.AnswerBytes
+	l.Records = int(e.set.Limits.Records)
+	return l
+}
+
+// Addrs are the opened addresses for callers, guards and operators.
+func (e *Entry) Addrs() (callers, inner, admin string) {
+	return e.callers.Addr(), e.inner.Addr(), e.admin.Addr()
+}
+
+// Server gives the entry's server.
+func (e *Entry) Server() *entry.Server { return e.server }
+
+// Run serves until ctx ends and then stops gracefully. It returns an error if
+// a listener failed or the stop cut off requests.
+func (e *Entry) Run(ctx context.Context) error {
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	failed := make(chan error, 3)
+	for _, s := range []*httpserve.Server{e.callers, e.inner, e.admin} {
+		go func() { failed <- s.Serve() }()
+	}
+	go func() { _ = e.sync.Run(running) }()
+	go func() { _ = e.router.Run(running) }()
+	e.log.Info("entry serves", "callers", e.callers.Addr(), "inner", e.inner.Addr(), "admin", e.admin.Addr())
+	select {
+	case <-ctx.Done():
+		return e.stop()
+	case err := <-failed:
+		e.server.Close()
+		return errors.Join(err, e.closeListeners())
+	}
+}
+
+// stop is a planned stop. First the balancer and the roster send new work
+// elsewhere while all requests are still served; then fresh jobs are refused
+// and open ones finish; only then do connections close.
+func (e *Entry) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), e.LameDuck+e.set.Limits.DrainTimeout)
+	defer cancel()
+	e.log.Info("entry leaves", "lame_duck", e.LameDuck)
+	e.server.Leave()
+	left := make(chan error, 1)
+	go func() { left <- e.router.Leave(ctx) }()
+	sleep(ctx, e.LameDuck)
+	err := e.server.Drain(ctx)
+	if err != nil {
+		err = fmt.Errorf("stop cut off open jobs: %w", err)
+	}
+	err = errors.Join(err, e.callers.Stop(ctx))
+	select {
+	case lerr := <-left:
+		if lerr != nil {
+			e.log.Warn("could not leave the roster; others will notice the end of links", "err", lerr)
+		}
+	case <-ctx.Done():
+	}
+	e.server.Close()
+	sleep(ctx, flushTime)
+	e.log.Info("entry stopped")
+	return errors.Join(err, e.closeListeners())
+}
+
+func (e *Entry) closeListeners() error {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	for _, s := range []*httpserve.Server{e.callers, e.inner, e.admin} {
+		if s != nil {
+			_ = s.Stop(ctx) // upgraded connections are not waited for
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// innerClientTLS is how this entry dials its peers.
+func (e *Entry) innerClientTLS() (*tls.Config, error) { return e.set.TLS.Client() }
