recovery: what became of the jobs of an entry that is gone

Cause: "not run" about a dead entry's job needs every guard that could have started it, and an entry only sees the guards that it is linked to.

Ruled out: first-seen times of guards compared with births. A paused or cut-off entry may use a new guard at any later time, so no clock bounds the set.

Change: an entry announces each guard and uses it once its witnesses have acknowledged it; it names the birth from which a peer is a witness. A roster that declares the entry gone closes the list. "Not run" is said when every guard on it has reported. In doubt the answer is "outcome unknown".

Fences carry a window, so that reports stay small: the whole memory of a guard would be far beyond a node's budget at the planned size.

--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -47,6 +47,8 @@
 	Collect     *Collect     `cbor:"19,keyasint,omitempty"`
 	Collected   *Collected   `cbor:"20,keyasint,omitempty"`
 	Goodbye     *Goodbye     `cbor:"21,keyasint,omitempty"`
+	Witness     *Witness     `cbor:"22,keyasint,omitempty"`
+	Witnessed   *Witnessed   `cbor:"23,keyasint,omitempty"`
 }
 
 // Hello opens a link from a guard to an entry and announces its upstream.
@@ -152,13 +154,16 @@
 // guard answers with all that it ever started for it.
 type Fence struct {
 	Gone identity.Incarnation `cbor:"1,keyasint"`
+	// SinceMs limits the report to identities born from here on.
+	SinceMs int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // FenceReport answers a Fence.
 type FenceReport struct {
 	Gone    identity.Incarnation `cbor:"1,keyasint"`
 	Started []Started            `cbor:"2,keyasint,omitempty"`
-	// FloorMs is the birth below which the guard no longer remembers starts.
+	// FloorMs is the birth below which the guard no longer remembers starts, or
+	// the SinceMs that it was asked for, whichever is greater.
 	FloorMs int64 `cbor:"3,keyasint,omitempty"`
 }
 
@@ -180,6 +185,33 @@
 	Member  string   `cbor:"1,keyasint"`
 	Key     string   `cbor:"2,keyasint"`
 	Results []Result `cbor:"3,keyasint,omitempty"`
+	Of      int      `cbor:"4,keyasint,omitempty"` // tasks in the job, 0 if nothing is known of it
+}
+
+// Witness tells a peer at which guards the sender starts tasks, so that the peer
+// knows after the sender's death which guards have to be asked. The sender uses
+// a new guard only once its witnesses have acknowledged it. See package recovery.
+type Witness struct {
+	Seq     uint64                 `cbor:"1,keyasint"`
+	Guards  []identity.Incarnation `cbor:"2,keyasint,omitempty"` // added
+	Dropped []DroppedGuard         `cbor:"3,keyasint,omitempty"`
+	// SinceMs, when set, makes the peer a witness: every identity born from here
+	// on starts only at guards that the peer has acknowledged. Version is the
+	// roster version under which the sender says so.
+	SinceMs int64 `cbor:"4,keyasint,omitempty"`
+	Version int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// DroppedGuard is a guard at which the sender starts nothing more. Identities
+// born from AfterMs on were never sent to it.
+type DroppedGuard struct {
+	Guard   identity.Incarnation `cbor:"1,keyasint"`
+	AfterMs int64                `cbor:"2,keyasint"`
+}
+
+// Witnessed acknowledges a Witness.
+type Witnessed struct {
+	Seq uint64 `cbor:"1,keyasint"`
 }
 
 // Config carries a whole configuration snapshot, encoded by package record.
