peers: links between entries, registration, roster upkeep, forwarding

Cause: the roster and recovery machines need a process around them.

Change: one mutex guards both machines; the path of a request reads the roster view and the link table through atomic pointers. A peer is suspected when its link stays down or a member falls silent, and declared gone only when its lease is missing, too: a lease alone lapses in an outage, and a link alone breaks with a cable. Of two entries the one that sorts first dials.

MayStart keeps the greatest birth that it ever allowed. A witness's time and the time at which a guard was dropped are drawn from it, so that neither depends on a clock.

--- /dev/null
+++ b/internal/peers/link.go
@@ -0,0 +1,239 @@
+package peers
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wigeontray/internal/identity"
+	"wigeontray/internal/wire"
+)
+
+// peerLink is an open link to a peer.
+type peerLink struct {
+	addr     wire.EntryAddr
+	link     wire.Link
+	lastMs   atomic.Int64 // arrival of the last frame
+	revision atomic.Int64 // configuration in force at the peer, as far as known
+	behindMs int64        // since when the peer's configuration is newer; under Peers.mu
+
+	mu      sync.Mutex // guards pending
+	nextID  uint64
+	pending map[uint64]chan *wire.Forwarded
+}
+
+// Handler accepts links from peers; it is mounted at wire.PeerPath.
+func (p *Peers) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		link, err := wire.Accept(w, r, p.opt.Traffic)
+		if err != nil {
+			p.opt.count("accept_failed")
+			return
+		}
+		p.Accept(context.WithoutCancel(r.Context()), link)
+	})
+}
+
+// Accept serves a link that a peer opened, until it ends.
+func (p *Peers) Accept(ctx context.Context, link wire.Link) {
+	hello, err := p.receiveHello(ctx, link)
+	if err == nil {
+		err = link.Send(&wire.Frame{PeerHello: p.hello()})
+	}
+	if err != nil {
+		p.refuse(link, err)
+		return
+	}
+	p.serve(ctx, link, hello)
+}
+
+// dial opens a link to a peer and serves it until it ends. The incarnation is
+// empty for an address that comes from the settings.
+func (p *Peers) dial(ctx context.Context, to wire.EntryAddr) {
+	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	link, err := p.opt.Dial(dialing, to)
+	if err != nil {
+		p.opt.count("dial_failed")
+		return
+	}
+	if err := link.Send(&wire.Frame{PeerHello: p.hello()}); err != nil {
+		p.refuse(link, err)
+		return
+	}
+	hello, err := p.receiveHello(ctx, link)
+	if err == nil && to.Incarnation != "" && hello.Incarnation != to.Incarnation {
+		err = fmt.Errorf("%s answers at the address of %s", hello.Incarnation, to.Incarnation)
+	}
+	if err != nil {
+		p.refuse(link, err)
+		return
+	}
+	p.serve(ctx, link, hello)
+}
+
+func (p *Peers) refuse(link wire.Link, err error) {
+	p.opt.count("hello_refused")
+	p.opt.Log.Warn("peer link refused", "err", err)
+	link.Close("refused")
+}
+
+func (p *Peers) hello() *wire.PeerHello {
+	return &wire.PeerHello{
+		Version: wire.Version, MinVersion: wire.MinVersion,
+		Incarnation: p.opt.Self.Incarnation, Inner: p.opt.Self.Inner, Domain: p.opt.Self.Domain,
+		Region: p.opt.Region, Revision: p.opt.Revision(), Key: p.opt.Key,
+	}
+}
+
+// Reasons to refuse a peer.
+var (
+	errNoHello     = errors.New("first frame is no hello")
+	errWrongKey    = errors.New("wrong fleet key")
+	errVersion     = errors.New("no common protocol version")
+	errWrongRegion = errors.New("peer of another region")
+	errSelf        = errors.New("peer has this entry's incarnation")
+)
+
+// receiveHello reads and checks the first frame.
+func (p *Peers) receiveHello(ctx context.Context, link wire.Link) (*wire.PeerHello, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	f, err := link.Recv(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("receive hello: %w", err)
+	}
+	h := f.PeerHello
+	switch {
+	case h == nil:
+		return nil, errNoHello
+	case subtle.ConstantTimeCompare([]byte(h.Key), []byte(p.opt.Key)) == 0:
+		return nil, errWrongKey
+	case h.Version < wire.MinVersion || h.MinVersion > wire.Version:
+		return nil, errVersion
+	case h.Region != p.opt.Region:
+		return nil, errWrongRegion
+	case h.Incarnation == p.opt.Self.Incarnation:
+		return nil, errSelf
+	}
+	return h, nil
+}
+
+// serve keeps a greeted link as the peer's only one and handles its frames.
+func (p *Peers) serve(ctx context.Context, link wire.Link, h *wire.PeerHello) {
+	l := &peerLink{
+		addr:    wire.EntryAddr{Incarnation: h.Incarnation, Inner: h.Inner, Domain: h.Domain},
+		link:    link,
+		pending: make(map[uint64]chan *wire.Forwarded),
+	}
+	l.revision.Store(h.Revision)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.up(l)
+	for {
+		f, err := link.Recv(ctx)
+		if err != nil {
+			break
+		}
+		l.lastMs.Store(time.Now().UnixMilli())
+		p.handle(ctx, l, f)
+	}
+	p.down(l)
+}
+
+// up makes l the peer's link; an older one is closed.
+func (p *Peers) up(l *peerLink) {
+	inc := l.addr.Incarnation
+	l.lastMs.Store(time.Now().UnixMilli())
+	p.do(func(now time.Time) {
+		if old := p.replaceLink(inc, l); old != nil {
+			old.link.Close("replaced")
+		}
+		k := p.note(now, l.addr)
+		k.downSince = time.Time{}
+		p.opt.Log.Info("peer linked", "peer", inc)
+		p.recovery.Seen(now, inc)
+		p.machine.Trust(now, inc)
+		p.machine.Linked(now, inc)
+		p.announcer.PeerUp(inc)
+	})
+	p.sendConfigIfNewer(l)
+}
+
+// down forgets l, unless a newer link has replaced it.
+func (p *Peers) down(l *peerLink) {
+	l.link.Close("ended")
+	l.failPending()
+	inc := l.addr.Incarnation
+	p.do(func(now time.Time) {
+		if (*p.links.Load())[inc] != l {
+			return
+		}
+		p.replaceLink(inc, nil)
+		p.note(now, l.addr).downSince = now
+		p.opt.Log.Info("peer link lost", "peer", inc)
+		p.announcer.PeerDown(inc)
+	})
+}
+
+// replaceLink publishes a new table with l for inc, or without inc when l is
+// nil, and returns the link that was there. The caller holds mu.
+func (p *Peers) replaceLink(inc identity.Incarnation, l *peerLink) *peerLink {
+	links := maps.Clone(*p.links.Load())
+	old := links[inc]
+	if l == nil {
+		delete(links, inc)
+	} else {
+		links[inc] = l
+	}
+	p.links.Store(&links)
+	return old
+}
+
+// handle takes one frame. Frames of a link that was replaced are dropped: an
+// announcement of a guard that was overtaken by a later one would put the list
+// of guards wrong.
+func (p *Peers) handle(ctx context.Context, l *peerLink, f *wire.Frame) {
+	switch {
+	case f.Forward != nil:
+		p.serveForward(ctx, l, f.Forward)
+	case f.Forwarded != nil:
+		l.resolve(f.Forwarded)
+	case f.Config != nil:
+		l.revision.Store(max(l.revision.Load(), f.Config.Revision))
+		p.hooks.add(func() { p.opt.OnConfig(f.Config) })
+	case f.ConfigAck != nil:
+		l.revision.Store(f.ConfigAck.Revision)
+		p.sendConfigIfNewer(l)
+	default:
+		p.do(func(now time.Time) {
+			if (*p.links.Load())[l.addr.Incarnation] == l {
+				p.handleLocked(now, l.addr.Incarnation, f)
+			}
+		})
+	}
+}
+
+func (p *Peers) handleLocked(now time.Time, from identity.Incarnation, f *wire.Frame) {
+	p.recovery.Seen(now, from)
+	switch {
+	case f.Promise != nil:
+		p.machine.Promise(now, from, *f.Promise)
+	case f.Roster != nil:
+		p.machine.Learned(now, f.Roster)
+	case f.Join != nil && f.Join.Entry.Incarnation == from:
+		p.machine.JoinAsked(now, f.Join)
+	case f.Witness != nil:
+		p.recovery.Witness(now, from, f.Witness)
+	case f.Witnessed != nil:
+		p.announcer.Acknowledged(from, f.Witnessed.Seq)
+	default:
+		p.opt.count("unknown_frame")
+	}
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,314 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/recovery"
+	"wigeontray/internal/roster"
+	"wigeontray/internal/wire"
+)
+
+// Peers is one entry's part in the group of entries of its region.
+type Peers struct {
+	opt Options
+
+	// links are read on the path of requests; they are replaced, never changed.
+	links atomic.Pointer[map[identity.Incarnation]*peerLink]
+	// latestMs is the greatest birth that MayStart ever allowed.
+	latestMs atomic.Int64
+	hooks    hookQueue
+	forwards atomic.Int64
+
+	mu        sync.Mutex // guards what follows
+	ctx       context.Context
+	machine   *roster.Machine
+	recovery  *recovery.Machine
+	announcer *recovery.Announcer
+	known     map[identity.Incarnation]*known
+	entries   map[identity.Incarnation]bool // registered in the store
+	listed    bool                          // entries has been read
+	waiting   map[recovery.Job][]chan recovery.Finding
+	seeds     map[string]time.Time // next dial of an address of the settings
+	version   int64                // last roster version handed on
+	reading   bool
+	fenced    bool
+	stopped   bool // no goroutine may be added to wg any more
+	wg        sync.WaitGroup
+}
+
+// known is what this entry keeps of another one.
+type known struct {
+	addr        wire.EntryAddr
+	downSince   time.Time // zero while linked
+	absentSince time.Time // zero while registered in the store
+	dialing     bool
+	nextDial    time.Time
+}
+
+// New returns a Peers that does nothing until Run.
+func New(opt Options) *Peers {
+	p := &Peers{
+		opt:       opt.withDefaults(),
+		ctx:       context.Background(),
+		machine:   roster.NewMachine(opt.Self, opt.Roster),
+		recovery:  recovery.NewMachine(opt.Self.Incarnation, opt.Recovery),
+		announcer: recovery.NewAnnouncer(),
+		known:     make(map[identity.Incarnation]*known),
+		seeds:     make(map[string]time.Time),
+		entries:   make(map[identity.Incarnation]bool),
+		waiting:   make(map[recovery.Job][]chan recovery.Finding),
+	}
+	p.hooks.wake = make(chan struct{}, 1)
+	p.links.Store(&map[identity.Incarnation]*peerLink{})
+	return p
+}
+
+// Run takes part until ctx ends: it registers this entry, follows the store,
+// dials peers and drives the roster. It returns after all of its goroutines.
+func (p *Peers) Run(ctx context.Context) {
+	p.mu.Lock()
+	p.ctx = ctx
+	p.mu.Unlock()
+	for _, f := range []func(context.Context){p.hooks.run, p.register, p.followEntries, p.followRoster} {
+		p.wg.Go(func() { f(ctx) })
+	}
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		p.do(p.tick)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			p.stop()
+			return
+		}
+	}
+}
+
+// stop ends the links and waits for all goroutines.
+func (p *Peers) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	for _, l := range *p.links.Load() {
+		l.link.Close("stopping")
+	}
+	p.wg.Wait()
+}
+
+// spawn runs f in a goroutine that Run waits for. The caller holds mu.
+func (p *Peers) spawn(f func()) {
+	if !p.stopped {
+		p.wg.Go(f)
+	}
+}
+
+// do runs one input under the lock and carries out what follows from it.
+func (p *Peers) do(input func(now time.Time)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	input(now)
+	p.carryOut(now)
+}
+
+// tick does what is due. The caller holds mu.
+func (p *Peers) tick(now time.Time) {
+	p.judge(now)
+	p.dialMissing(now)
+	p.machine.Tick(now)
+	p.recovery.Tick(now)
+	p.askConfig(now)
+}
+
+// View gives the latest roster view, without a lock.
+func (p *Peers) View() *roster.View { return p.machine.View() }
+
+// MayStart tells whether this entry may start key for member: nil when it may,
+// for good. It must be asked before a job is admitted, since what it allowed
+// decides from which birth on a peer is a witness. It takes no lock and
+// allocates nothing when it allows.
+func (p *Peers) MayStart(member string, key identity.Key) *errkind.Error {
+	if err := p.machine.View().MayStart(member, key); err != nil {
+		return err
+	}
+	if key.Home != "" && key.BirthMs > time.Now().Add(ticketSkew).UnixMilli() {
+		return errkind.New(errkind.BadRequest, "the ticket's birth lies in the future")
+	}
+	for {
+		latest := p.latestMs.Load()
+		if key.BirthMs <= latest || p.latestMs.CompareAndSwap(latest, key.BirthMs) {
+			return nil
+		}
+	}
+}
+
+// beyond is above every birth that MayStart allowed so far.
+func (p *Peers) beyond() int64 { return p.latestMs.Load() + 1 }
+
+// Peer is one linked entry.
+type Peer struct {
+	Addr   wire.EntryAddr
+	Member bool // of the last roster
+}
+
+// Peers lists the linked entries, sorted.
+func (p *Peers) Peers() []Peer {
+	last, _ := p.View().Last()
+	var out []Peer
+	links := *p.links.Load()
+	for _, inc := range slices.Sorted(maps.Keys(links)) {
+		out = append(out, Peer{Addr: links[inc].addr, Member: last.Has(inc)})
+	}
+	return out
+}
+
+// Entries lists the entries that guards should link to: this one, those that are
+// linked and those registered in the store.
+func (p *Peers) Entries() []wire.EntryAddr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []wire.EntryAddr{p.opt.Self}
+	for _, inc := range slices.Sorted(maps.Keys(p.known)) {
+		if k := p.known[inc]; k.downSince.IsZero() || p.entries[inc] {
+			out = append(out, k.addr)
+		}
+	}
+	return out
+}
+
+// Leave takes this entry off the roster, waits until it owns no births any more,
+// and tells its peers. The caller goes on serving meanwhile. It returns an error
+// when ctx ends first; the others then wait for its promises no longer, except
+// as docs/start-at-most-once.md says.
+func (p *Peers) Leave(ctx context.Context) error {
+	p.do(p.machine.Leave)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for !p.left() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return fmt.Errorf("leave the roster: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+func (p *Peers) left() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Left(time.Now().Add(-leaveSkew))
+}
+
+// carryOut executes all actions of the machines. The caller holds mu.
+func (p *Peers) carryOut(now time.Time) {
+	p.handOnVersions(now)
+	last, _ := p.View().Last()
+	p.announcer.Grant(last.Version, last.Has, p.beyond())
+	for _, a := range p.machine.Actions() {
+		p.carryOutRoster(a)
+	}
+	for _, a := range p.announcer.Actions() {
+		if a.Witness != nil {
+			p.sendTo(a.Peer, &wire.Frame{Witness: a.Witness})
+		} else {
+			p.hooks.add(func() { p.opt.OnGuardReady(a.Ready) })
+		}
+	}
+	for _, a := range p.recovery.Actions() {
+		p.carryOutRecovery(a)
+	}
+}
+
+// handOnVersions tells the other machines of new roster versions, each once and
+// in order.
+func (p *Peers) handOnVersions(now time.Time) {
+	view := p.machine.View()
+	for _, v := range view.Versions() {
+		if v.Version <= p.version {
+			continue
+		}
+		gap := p.version != 0 && v.Version != p.version+1
+		p.version = v.Version
+		p.opt.Log.Info("roster", "version", v.Version, "members", len(v.Members), "gone", v.Gone)
+		p.recovery.Roster(now, v.Message(), gap)
+		p.announcer.Roster(v.Version, v.Has, view.Fenced())
+		for _, inc := range v.Gone {
+			if inc != p.opt.Self.Incarnation {
+				p.hooks.add(func() { p.opt.OnGone(inc) })
+			}
+		}
+	}
+	if view.Fenced() && !p.fenced {
+		p.fenced = true
+		p.opt.Log.Error("declared gone by a roster", "entry", p.opt.Self.Incarnation)
+		p.hooks.add(p.opt.OnFenced)
+	}
+}
+
+func (p *Peers) carryOutRoster(a roster.Action) {
+	switch {
+	case a.Broadcast != nil:
+		p.broadcast(&wire.Frame{Promise: a.Broadcast})
+	case a.Announce != nil:
+		for _, r := range a.Announce.Versions {
+			f := &wire.Frame{Roster: r}
+			if a.Announce.To == "" {
+				p.broadcast(f)
+			} else {
+				p.sendTo(a.Announce.To, f)
+			}
+		}
+	case a.Join != nil:
+		p.sendTo(a.Join.To, &wire.Frame{Join: a.Join.Ask})
+	case a.Swap != nil:
+		p.spawn(func() { p.swap(p.ctx, a.Swap) })
+	case a.Read && !p.reading:
+		p.reading = true
+		p.spawn(func() { p.readRoster(p.ctx) })
+	}
+}
+
+func (p *Peers) carryOutRecovery(a recovery.Action) {
+	switch {
+	case a.Fence != nil:
+		p.opt.ToGuard(a.Guard, &wire.Frame{Fence: a.Fence})
+	case a.Collect != nil:
+		p.opt.ToGuard(a.Guard, &wire.Frame{Collect: a.Collect})
+	case a.Acknowledge != nil:
+		p.sendTo(a.Peer, &wire.Frame{Witnessed: a.Acknowledge})
+	case a.Finding != nil:
+		p.opt.count("recovered." + a.Finding.Verdict.String())
+		for _, ch := range p.waiting[a.Finding.Job] {
+			ch <- *a.Finding // buffered, one finding each
+		}
+		delete(p.waiting, a.Finding.Job)
+	}
+}
+
+// errNotLinked reports a peer to which there is no link.
+var errNotLinked = errors.New("no link to the peer")
+
+// sendTo sends a frame to one peer. A frame that is lost with its link is made
+// good when the link comes back: promises and announcements are repeated.
+func (p *Peers) sendTo(to identity.Incarnation, f *wire.Frame) {
+	if l := (*p.links.Load())[to]; l != nil {
+		_ = l.link.Send(f)
+	}
+}
+
+func (p *Peers) broadcast(f *wire.Frame) {
+	for _, l := range *p.links.Load() {
+		_ = l.link.Send(f)
+	}
+}
--- a/internal/recovery/announcer.go
+++ b/internal/recovery/announcer.go
@@ -120,10 +120,8 @@
 	}
 }
 
-// Acknowledged takes a peer's answer. beyondMs is above the birth of every
-// identity that this entry may have admitted so far, and version is the last
-// roster version; member tells whether the peer belongs to it.
-func (a *Announcer) Acknowledged(p identity.Incarnation, seq uint64, beyondMs, version int64, member bool) {
+// Acknowledged takes a peer's answer.
+func (a *Announcer) Acknowledged(p identity.Incarnation, seq uint64) {
 	l := a.peers[p]
 	if l == nil {
 		return
@@ -134,11 +132,24 @@
 		}
 	}
 	delete(l.sent, seq)
-	if l.sinceMs == 0 && member && l.linked && !a.fenced && len(l.acked) == len(a.guards) {
+	a.release()
+}
+
+// Grant makes a witness of every linked member of the last roster version that
+// has acknowledged all guards. beyondMs is above the birth of every identity
+// that this entry may have admitted so far.
+func (a *Announcer) Grant(version int64, isMember func(identity.Incarnation) bool, beyondMs int64) {
+	if a.fenced || version == 0 {
+		return
+	}
+	for _, p := range a.linked() {
+		l := a.peers[p]
+		if l.sinceMs != 0 || len(l.acked) != len(a.guards) || !isMember(p) {
+			continue
+		}
 		l.sinceMs, l.version = beyondMs, version
 		a.send(p, &wire.Witness{SinceMs: l.sinceMs, Version: l.version})
 	}
-	a.release()
 }
 
 // Roster takes a newly learned version. A witness that it leaves out is waited
--- a/internal/recovery/machine.go
+++ b/internal/recovery/machine.go
@@ -70,6 +70,17 @@
 	return h
 }
 
+// unheard stands for a home that nothing is known of. Callers make up the names
+// in their tickets, and must not fill the memory with them.
+var unheard = new(home)
+
+func (m *Machine) lookup(inc identity.Incarnation) *home {
+	if h := m.homes[inc]; h != nil {
+		return h
+	}
+	return unheard
+}
+
 // Witness takes a peer's announcement and acknowledges it.
 func (m *Machine) Witness(now time.Time, from identity.Incarnation, w *wire.Witness) {
 	h := m.home(from)
@@ -139,7 +150,7 @@
 
 // Report takes a guard's answer to a fence.
 func (m *Machine) Report(now time.Time, g identity.Incarnation, r *wire.FenceReport) {
-	m.home(r.Gone).take(g, r)
+	m.lookup(r.Gone).take(g, r)
 	m.Tick(now)
 }
 
@@ -211,7 +222,7 @@
 // advance asks what is still to be asked about a job and ends it when there is a
 // verdict.
 func (m *Machine) advance(now time.Time, r *recovery) {
-	h := m.home(r.job.Home)
+	h := m.lookup(r.job.Home)
 	p := h.evidence(r.job)
 	for _, starts := range p.started {
 		for _, s := range starts {
@@ -296,7 +307,7 @@
 		}
 	}
 	for g, answered := range r.asked {
-		if !answered && !m.isLost(now, g) && m.homes[r.job.Home].falls(g, r.job.BirthMs) {
+		if !answered && !m.isLost(now, g) && m.lookup(r.job.Home).falls(g, r.job.BirthMs) {
 			return true
 		}
 	}
@@ -338,7 +349,7 @@
 	if _, asked := r.asked[g]; asked {
 		return false
 	}
-	h := m.home(r.job.Home)
+	h := m.lookup(r.job.Home)
 	return h.gone.IsZero() || h.falls(g, r.job.BirthMs)
 }
 
--- a/internal/recovery/machine_test.go
+++ b/internal/recovery/machine_test.go
@@ -220,14 +220,15 @@
 	c := qt.New(t)
 	a := NewAnnouncer()
 	a.PeerUp(other)
-	a.Acknowledged(other, a.Actions()[0].Witness.Seq, 1, 1, true)
+	a.Acknowledged(other, a.Actions()[0].Witness.Seq)
+	a.Grant(1, func(identity.Incarnation) bool { return true }, 1)
 	a.Actions()
 	a.GuardUp(g1)
 	old := a.Actions()[0].Witness.Seq
 	a.GuardLost(g1, 2)
 	a.GuardUp(g1)
 	a.Actions()
-	a.Acknowledged(other, old, 3, 1, true)
+	a.Acknowledged(other, old)
 	c.Assert(a.Held(), qt.Equals, 1)
 }
 
@@ -237,7 +238,8 @@
 	c := qt.New(t)
 	a := NewAnnouncer()
 	a.PeerUp(other)
-	a.Acknowledged(other, a.Actions()[0].Witness.Seq, 1, 1, true)
+	a.Acknowledged(other, a.Actions()[0].Witness.Seq)
+	a.Grant(1, func(identity.Incarnation) bool { return true }, 1)
 	a.PeerDown(other)
 	a.Actions()
 	a.GuardUp(g1)
--- a/internal/roster/append.go
+++ b/internal/roster/append.go
@@ -181,7 +181,7 @@
 func (m *Machine) allGone(now time.Time, last Version) bool {
 	for _, e := range last.Members {
 		since, suspected := m.suspects[e.Incarnation]
-		proved := m.gone[e.Incarnation] || m.declaredGone(e.Incarnation)
+		proved := m.gone[e.Incarnation] || m.DeclaredGone(e.Incarnation)
 		if !suspected || !proved || now.Before(since.Add(m.opt.Takeover)) {
 			return false
 		}
--- a/internal/roster/history.go
+++ b/internal/roster/history.go
@@ -60,8 +60,8 @@
 	return h, nil
 }
 
-// message gives the form in which v is sent to a peer.
-func (v Version) message() *wire.Roster {
+// Message gives the form in which v is sent to a peer.
+func (v Version) Message() *wire.Roster {
 	return &wire.Roster{Version: v.Version, FromMs: v.FromMs, Members: v.Members, CeilingMs: v.CeilingMs, Gone: v.Gone}
 }
 
--- a/internal/roster/machine.go
+++ b/internal/roster/machine.go
@@ -209,7 +209,7 @@
 	var out []*wire.Roster
 	for _, v := range m.versions {
 		if v.Version > version {
-			out = append(out, v.message())
+			out = append(out, v.Message())
 		}
 	}
 	if len(out) > 0 {
@@ -227,7 +227,7 @@
 
 // JoinAsked takes a peer's wish to become a member.
 func (m *Machine) JoinAsked(now time.Time, j *wire.Join) {
-	if last, ok := m.last(); ok && !last.Has(j.Entry.Incarnation) && !m.declaredGone(j.Entry.Incarnation) {
+	if last, ok := m.last(); ok && !last.Has(j.Entry.Incarnation) && !m.DeclaredGone(j.Entry.Incarnation) {
 		m.joiners[j.Entry.Incarnation] = j.Entry
 	}
 	m.Tick(now)
@@ -253,13 +253,14 @@
 // Gone notes that a peer's lease has lapsed and its link is down. The next
 // roster declares it gone for good.
 func (m *Machine) Gone(now time.Time, peer identity.Incarnation) {
-	if !m.declaredGone(peer) {
+	if !m.DeclaredGone(peer) {
 		m.gone[peer] = true
 	}
 	m.Suspect(now, peer)
 }
 
-func (m *Machine) declaredGone(peer identity.Incarnation) bool {
+// DeclaredGone tells whether a version that is still kept declares peer gone.
+func (m *Machine) DeclaredGone(peer identity.Incarnation) bool {
 	for _, v := range m.versions {
 		if slices.Contains(v.Gone, peer) {
 			return true
@@ -311,7 +312,7 @@
 
 func (m *Machine) announceLast() {
 	last := m.versions[len(m.versions)-1]
-	m.actions = append(m.actions, Action{Announce: &Announce{Versions: []*wire.Roster{last.message()}}})
+	m.actions = append(m.actions, Action{Announce: &Announce{Versions: []*wire.Roster{last.Message()}}})
 }
 
 // Tick does what is due and publishes the view.
@@ -325,9 +326,6 @@
 	m.publish()
 }
 
-// NextTick tells when Tick is next due.
-func (m *Machine) NextTick(now time.Time) time.Time { return now.Add(m.opt.Period / 4) }
-
 func (m *Machine) wantRead(now time.Time) {
 	if now.Before(m.nextRead) {
 		return
--- a/internal/roster/machine_test.go
+++ b/internal/roster/machine_test.go
@@ -214,7 +214,7 @@
 	got := b.owners(b.now, 300)
 	b.c.Assert(total(got), qt.Equals, 300)
 	b.c.Assert(got["entry-1"], qt.Equals, 0)
-	b.c.Assert(b.machines["entry-0"].declaredGone("entry-1"), qt.IsTrue)
+	b.c.Assert(b.machines["entry-0"].DeclaredGone("entry-1"), qt.IsTrue)
 }
 
 // The store goes down while every entry lives. Nothing of a request needs the
