--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,8 @@
 	Log         *log.Logger
 	// Records serves the operators' record API, if set.
 	Records http.Handler
+	// OnConfig is called after a new snapshot is in force here, if set.
+	OnConfig func()
 }
 
 // Defaults of Options.
@@ -157,7 +159,7 @@
 	if l, ok := s.lanes.Load(service); ok {
 		return l.(*lane)
 	}
-	l := newLane(service, dispatch.New(service, s.policy(service), s.opts.Seed), s.finish)
+	l := newLane(service, s.id, dispatch.New(service, s.policy(service), s.opts.Seed), s.finish)
 	s.lanes.Store(service, l)
 	return l
 }
@@ -185,6 +187,9 @@
 		s.metrics.Inc(telemetry.ConfigsApplied)
 		s.log.Info("configuration in force", "revision", c.Revision)
 	}
+	if s.opts.OnConfig != nil {
+		s.opts.OnConfig()
+	}
 }
 
 // Reconfigure applies the policies again, after the configuration or the number
@@ -240,3 +245,10 @@
 
 // InnerHandler serves the guards' end of the inner protocol.
 func (s *Server) InnerHandler() http.Handler { return http.HandlerFunc(s.serveGuard) }
+
+// Usable counts the guards that tasks may be sent to.
+func (s *Server) Usable() int {
+	n := 0
+	s.eachLane(func(l *lane) { n += len(l.guards()) })
+	return n
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -30,6 +30,7 @@
 		answer := b.post("ayni", b.ticket(), booking)
 		st := b.next(g).Start
 		b.Assert(string(st.Body), qt.Equals, `{"seat":"12A"}`)
+		b.Assert(st.Home, qt.Equals, b.s.id)
 		b.ok(g, st, `{"escort":7}`)
 		w := <-answer
 		b.Assert(w.Code, qt.Equals, http.StatusOK)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -40,7 +40,7 @@
 }
 func (c *fixedConfig) CheckRegion(string) *errkind.Error { return nil }
 func (c *fixedConfig) Policy(string) dispatch.Policy     { return dispatch.DefaultPolicy() }
-func (c *fixedConfig) Subscribe(func())                  {}
+func (c *fixedConfig) Watch(context.Context, func())     {}
 
 // soleRouter is a roster of one entry: plain keys are its own, and other
 // homes are gone.
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -16,6 +16,7 @@
 // that one member's load does not slow another's decisions.
 type lane struct {
 	service string
+	home    identity.Incarnation // this entry, named in every start
 	finish  func(now time.Time, rec *jobs.Record, o *dispatch.Outcome)
 
 	// mu guards all below. It is held while messages are queued on links, which
@@ -30,9 +31,10 @@
 	closed bool
 }
 
-func newLane(service string, core dispatch.Machine, finish func(time.Time, *jobs.Record, *dispatch.Outcome)) *lane {
+func newLane(service string, home identity.Incarnation, core dispatch.Machine, finish func(time.Time, *jobs.Record, *dispatch.Outcome)) *lane {
 	l := &lane{
 		service: service,
+		home:    home,
 		finish:  finish,
 		core:    core,
 		links:   make(map[identity.Incarnation]*guardLink),
@@ -85,6 +87,9 @@
 		}
 		// A guard whose link is gone gets nothing. The machine learns of the
 		// loss by GuardDown and sends again when the same guard returns.
+		if a.Start != nil {
+			a.Start.Home = l.home
+		}
 		if g := l.links[a.Guard]; g != nil {
 			_ = g.link.Send(&wire.Frame{Start: a.Start, Cancel: a.Cancel, Reserve: a.Reserve})
 		}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -20,6 +21,7 @@
 	"wigeontray/internal/httpserve"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
+	"wigeontray/internal/peers"
 	"wigeontray/internal/settings"
 	"wigeontray/internal/store"
 	"wigeontray/internal/telemetry"
@@ -34,6 +36,9 @@
 // flushTime lets answers and goodbyes reach the wire before links close.
 const flushTime = 200 * time.Millisecond
 
+// errFenced ends an entry that the others have declared gone.
+var errFenced = errors.New("the roster declared this entry gone")
+
 // Entry is an entry process.
 type Entry struct {
 	set     *settings.Entry
@@ -41,23 +46,14 @@
 	metrics *telemetry.Registry
 	sync    *confsync.Sync
 	server  *entry.Server
-	router  router
+	router  *entry.PeerRouter
+	fenced  chan struct{} // closed when a roster declared this entry gone
 
 	callers, inner, admin *httpserve.Server
 	// LameDuck is as the constant; tests and the quickstart shorten it.
 	LameDuck time.Duration
 }
 
-// router is what the entry needs of its peers, with a life of its own.
-type router interface {
-	entry.Router
-	Run(ctx context.Context) error
-	// Leave takes this entry out of the roster, for a planned stop.
-	Leave(ctx context.Context) error
-	Handler() http.Handler
-	Status() any
-}
-
 // NewEntry opens the listeners and builds an entry. transport replaces the
 // network towards the store; nil for the usual one.
 func NewEntry(set *settings.Entry, transport http.RoundTripper, logs io.Writer) (*Entry, error) {
@@ -69,7 +65,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet key: %w", err)
 	}
-	e := &Entry{set: set, log: logger, metrics: telemetry.New(), LameDuck: lameDuck}
+	e := &Entry{set: set, log: logger, metrics: telemetry.New(), LameDuck: lameDuck, fenced: make(chan struct{})}
 	registry := metrics.NewRegistry()
 	kv := store.NewEtcd(store.Options{
 		Endpoints: set.Store.Endpoints, Timeout: set.Store.Timeout,
@@ -114,6 +110,48 @@
 	return err
 }
 
+// build makes the router and the server and ties them to each other.
+func (e *Entry) build(self wire.EntryAddr, kv store.Store, key string, registry metrics.Registry) error {
+	dialTLS, err := e.set.TLS.Client()
+	if err != nil {
+		return err
+	}
+	config := entry.NewSyncedConfig(e.sync, e.set.Region)
+	traffic := new(wire.Traffic)
+	router, bind := entry.NewPeerRouter(peers.Options{
+		Self: self, Region: e.set.Region, Key: key, Store: kv, Seeds: e.set.Peers,
+		Dial:     dialPeer(dialTLS, traffic),
+		OnGone:   func(p identity.Incarnation) { e.log.Warn("entry declared gone", "entry", p) },
+		OnFenced: func() { close(e.fenced) },
+		Registry: registry, Log: e.log, Traffic: traffic,
+	})
+	e.router = router
+	records, err := e.records()
+	if err != nil {
+		return err
+	}
+	e.server = entry.New(entry.Options{
+		ID: self.Incarnation, Domain: self.Domain, FleetKey: key, Software: telemetry.Version,
+		MaxBody: e.set.Limits.Body, Jobs: e.jobLimits(), Seed: rand.Uint64(),
+		Config: config, Router: router, Metrics: e.metrics, Log: e.log, Records: records,
+		OnConfig: router.ConfigChanged,
+	})
+	bind(e.server)
+	return nil
+}
+
+// dialPeer opens links to other entries, with TLS if it is configured.
+func dialPeer(conf *tls.Config, traffic *wire.Traffic) func(context.Context, wire.EntryAddr) (wire.Link, error) {
+	scheme, transport := "ws", &http.Transport{}
+	if conf != nil {
+		scheme, transport = "wss", &http.Transport{TLSClientConfig: conf}
+	}
+	client := &http.Client{Transport: transport}
+	return func(ctx context.Context, to wire.EntryAddr) (wire.Link, error) {
+		return wire.Dial(ctx, scheme+"://"+to.Inner+wire.PeerPath, client, traffic)
+	}
+}
+
 // advertised is where others reach the inner listener: the configured address,
 // or the one that was opened where the configuration leaves the port open.
 func advertised(set *settings.Entry, opened string) string {
@@ -157,11 +195,16 @@
 		go func() { failed <- s.Serve() }()
 	}
 	go func() { _ = e.sync.Run(running) }()
-	go func() { _ = e.router.Run(running) }()
+	go e.router.Run(running)
 	e.log.Info("entry serves", "callers", e.callers.Addr(), "inner", e.inner.Addr(), "admin", e.admin.Addr())
 	select {
 	case <-ctx.Done():
 		return e.stop()
+	case <-e.fenced:
+		// Nothing may be started under this incarnation any more. Ending lets
+		// the platform start a new one.
+		e.server.Close()
+		return errors.Join(errFenced, e.closeListeners())
 	case err := <-failed:
 		e.server.Close()
 		return errors.Join(err, e.closeListeners())
@@ -216,6 +259,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// innerClientTLS is how this entry dials its peers.
-func (e *Entry) innerClientTLS() (*tls.Config, error) { return e.set.TLS.Client() }
--- /dev/null
+++ b/internal/node/standalone.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"wigeontray/internal/guard"
+	"wigeontray/internal/httpserve"
+	"wigeontray/internal/record"
+	"wigeontray/internal/sample"
+	"wigeontray/internal/settings"
+	"wigeontray/internal/store"
+	"wigeontray/internal/store/standin"
+	"wigeontray/internal/telemetry"
+)
+
+// SampleMember is a member of the quickstart with its service and sample task.
+type SampleMember struct {
+	Name, Token, Service, Task string
+	domains                    []string
+}
+
+// SampleMembers are the two members of the quickstart. Their tokens are no
+// secrets: the quickstart listens on loopback and keeps nothing.
+func SampleMembers() []SampleMember {
+	return []SampleMember{
+		{
+			Name: "ayni", Token: "ayni-sample-token", Service: "reserva",
+			Task:    `{"sleep_ms":120,"booking":"wheelchair escort","flight":"LP2047","seat":"12A"}`,
+			domains: []string{"callao-a", "surco"},
+		},
+		{
+			Name: "leeuwin", Token: "leeuwin-sample-token", Service: "clubcast",
+			Task:    `{"sleep_ms":250,"run":"course-wind","course":"W3","start":"10:05"}`,
+			domains: []string{"fremantle", "rottnest"},
+		},
+	}
+}
+
+// Standalone is a whole small system in one process: an embedded store, one
+// entry, and a guard with a sample upstream for each failure domain.
+type Standalone struct {
+	*Entry
+	kv     *standin.Server
+	guards []*guard.Guard
+	https  []*httpserve.Server
+}
+
+// NewStandalone builds the system. Callers are served at listen.
+func NewStandalone(listen string, logs io.Writer) (*Standalone, error) {
+	s := &Standalone{kv: standin.New()}
+	set := settings.DefaultEntry()
+	set.Name, set.Region, set.FailureDomain = "entry", "local", "local-a"
+	set.Callers, set.Inner, set.Admin = listen, "127.0.0.1:0", "127.0.0.1:0"
+	set.Store.Endpoints = []string{"http://store.invalid"} // never dialled
+	var err error
+	if s.Entry, err = NewEntry(set, &standin.Transport{Handler: s.kv}, logs); err != nil {
+		return nil, err
+	}
+	s.Entry.LameDuck = 0
+	for _, m := range SampleMembers() {
+		for _, d := range m.domains {
+			if err := s.addWorker(m, d); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+// addWorker starts a sample upstream and makes its guard.
+func (s *Standalone) addWorker(m SampleMember, domain string) error {
+	worker := m.Service + "-" + domain
+	up, err := httpserve.Listen("127.0.0.1:0", sample.New(worker, 1), nil, httpserve.DefaultLimits())
+	if err != nil {
+		return err
+	}
+	s.https = append(s.https, up)
+	_, inner, _ := s.Addrs()
+	g, err := guard.New(guard.Options{
+		Entries: []string{inner}, Service: m.Name + "/" + m.Service,
+		Worker: worker, Rack: domain + "-r1", Domain: domain, Region: "local", Slots: 8,
+		Upstream: "http://" + up.Addr(), Path: "/", Logger: s.log, Software: telemetry.Version,
+	})
+	if err != nil {
+		return err
+	}
+	s.guards = append(s.guards, g)
+	return nil
+}
+
+// Run serves until ctx ends.
+func (s *Standalone) Run(ctx context.Context) error {
+	if err := s.writeRecords(ctx); err != nil {
+		return err
+	}
+	for _, h := range s.https {
+		go func() { _ = h.Serve() }()
+	}
+	guards, stopGuards := context.WithCancel(context.Background())
+	defer stopGuards()
+	for _, g := range s.guards {
+		go func() { _ = g.Run(guards) }()
+	}
+	err := s.Entry.Run(ctx)
+	stop, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, g := range s.guards {
+		err = errors.Join(err, g.Stop(stop))
+	}
+	for _, h := range s.https {
+		_ = h.Stop(stop)
+	}
+	s.kv.Close()
+	return err
+}
+
+// writeRecords puts the sample members and services into the embedded store.
+func (s *Standalone) writeRecords(ctx context.Context) error {
+	kv := store.NewEtcd(store.Options{
+		Endpoints: []string{"http://store.invalid"}, Transport: &standin.Transport{Handler: s.kv},
+	})
+	put := func(kind record.Kind, name, value string) error {
+		if _, err := record.ParseAs(kind, name, []byte(value)); err != nil {
+			return fmt.Errorf("sample %s %s: %w", kind, name, err)
+		}
+		_, err := kv.Put(ctx, record.Key(kind, name), []byte(value), 0, 0)
+		return err
+	}
+	for _, m := range SampleMembers() {
+		hash := record.HashToken(m.Token)
+		member := fmt.Sprintf(`{"kind":"member","name":%q,"schema":1,"token_sha256":["%x"]}`, m.Name, hash[:])
+		service := fmt.Sprintf(`{"kind":"service","name":"%s/%s","schema":1,"path":"/"}`, m.Name, m.Service)
+		if err := errors.Join(put(record.KindMember, m.Name, member), put(record.KindService, m.Name+"/"+m.Service, service)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until the configuration is in force and every guard is
+// linked, or ctx ends.
+func (s *Standalone) AwaitReady(ctx context.Context) error {
+	const poll = 10 * time.Millisecond
+	t := time.NewTicker(poll)
+	defer t.Stop()
+	for !s.server.Ready() || s.server.Usable() < len(s.guards) {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return fmt.Errorf("standalone did not become ready: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
