--- /dev/null
+++ b/internal/e2e/e2e_test.go
@@ -0,0 +1,147 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+)
+
+func TestServesARequestThroughProcesses(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("entry-a")
+	f.worker("worker-1")
+	a := <-f.submitted(caller(e), f.ticket(e), job(10, 3))
+	f.Assert(a.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", a.Body))
+	f.Assert(a.Parsed.Results, qt.HasLen, 3)
+	f.Assert(f.starts(), qt.Equals, 3)
+}
+
+// An entry is killed while it holds a booking that already runs at the upstream.
+// The kiosk asks another entry, under the same identity. It gets the result of
+// the one run, which the guard still holds.
+func TestEntryKilledAfterTheStart(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.entry("entry-a"), f.entry("entry-b")
+	f.worker("worker-1")
+	key := f.ticket(a)
+	first := f.submitted(caller(a, b), key, job(500, 1))
+	f.eventually("the task starts", func() bool { return f.starts() == 1 })
+	a.kill()
+	answer := <-first
+	f.Assert(answer.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer.Body))
+	f.Assert(f.starts(), qt.Equals, 1)
+}
+
+// An entry is killed before a booking reached it. Asked at another entry, the
+// system proves that the booking never ran, so the kiosk may book anew at once.
+func TestEntryKilledBeforeTheStart(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.entry("entry-a"), f.entry("entry-b")
+	f.worker("worker-1")
+	key := f.ticket(a)
+	a.kill()
+	answer := <-f.submitted(caller(b), key, job(10, 1))
+	f.Assert(answer.Parsed.Error, qt.IsNotNil, qt.Commentf("%s", answer.Body))
+	f.Check(answer.Parsed.Error.Kind, qt.Equals, "not_run")
+	f.Check(answer.Parsed.Error.Ran, qt.Equals, "no")
+	again := <-f.submitted(caller(b), f.ticket(b), job(10, 1))
+	f.Assert(again.Status, qt.Equals, http.StatusOK)
+	f.Assert(f.starts(), qt.Equals, 1)
+}
+
+// An entry freezes for longer than its lease with a booking in its socket, and
+// goes on after the others have declared it gone and told the caller "not run".
+// What it then sends to guards must be refused.
+func TestEntryFrozenPastItsLease(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.entry("entry-a"), f.entry("entry-b")
+	f.worker("worker-1")
+	key := f.ticket(a)
+	a.signal(syscall.SIGSTOP)
+	late := f.submitted(caller(a), key, job(10, 1))
+	answer := <-f.submitted(caller(b), key, job(10, 1))
+	f.Assert(answer.Parsed.Error, qt.IsNotNil, qt.Commentf("%s", answer.Body))
+	told := answer.Parsed.Error.Kind
+	a.signal(syscall.SIGCONT)
+	f.eventually("the entry that was frozen ends", func() bool { return f.status(a, "/healthz") == 0 })
+	<-late
+	if told == "not_run" {
+		f.Assert(f.starts(), qt.Equals, 0)
+	}
+	f.Assert(f.starts() <= 1, qt.IsTrue)
+}
+
+// A worker's VM dies with a task. The caller is told that the outcome is
+// unknown, and the next booking goes to the other worker.
+func TestGuardKilled(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("entry-a")
+	g := f.worker("worker-1")
+	first := f.submitted(caller(e), f.ticket(e), job(5000, 1))
+	f.eventually("the task starts", func() bool { return f.starts() == 1 })
+	f.worker("worker-2")
+	g.kill()
+	a := <-first
+	f.Assert(a.Parsed.Error, qt.IsNotNil, qt.Commentf("%s", a.Body))
+	f.Assert(a.Parsed.Error.Kind, qt.Equals, "worker_lost")
+	f.Assert(a.Parsed.Error.Ran, qt.Equals, "unknown")
+	a = <-f.submitted(caller(e), f.ticket(e), job(10, 1))
+	f.Assert(a.Status, qt.Equals, http.StatusOK)
+}
+
+// Entries and guards are stopped as planned, one after the other, while callers
+// submit. Nobody's request is cut off, and nothing runs twice.
+func TestPlannedStopsUnderLoad(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.entry("entry-a"), f.entry("entry-b")
+	g := f.worker("worker-1")
+	f.worker("worker-2")
+	const callers, jobs = 8, 25
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var failed []string
+	for c := range callers {
+		wg.Go(func() {
+			for i := range jobs {
+				key := uuid.Must(uuid.NewV7()).String()
+				first, second := a, b
+				if c%2 == 1 {
+					first, second = b, a
+				}
+				ans := <-f.submitted(caller(first, second), key, job(20, 2))
+				if ans == nil || ans.Status != http.StatusOK {
+					mu.Lock()
+					failed = append(failed, fmt.Sprintf("caller %d job %d: %+v", c, i, ans))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	f.eventually("load runs", func() bool { return f.starts() > 20 })
+	g.signal(syscall.SIGTERM)
+	a.signal(syscall.SIGTERM)
+	wg.Wait()
+	f.Assert(failed, qt.HasLen, 0)
+	f.Assert(f.starts(), qt.Equals, callers*jobs*2)
+	f.Assert(g.cmd.Wait(), qt.IsNil)
+	f.Assert(a.cmd.Wait(), qt.IsNil)
+}
+
+// The platform's store goes down for long. Running processes go on; an entry
+// that starts in the outage takes the configuration from the others.
+func TestStoreDown(t *testing.T) {
+	f := newFleet(t)
+	a := f.entry("entry-a")
+	f.worker("worker-1")
+	f.kv.SetDown(true)
+	ans := <-f.submitted(caller(a), f.ticket(a), job(10, 1))
+	f.Assert(ans.Status, qt.Equals, http.StatusOK)
+	b := f.entry("entry-b") // ready only with a configuration
+	ans = <-f.submitted(caller(b), f.ticket(a), job(10, 1))
+	f.Assert(ans.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", ans.Body))
+}
--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,290 @@
+// Package e2e holds a few tests that start the two real binaries and end them
+// with real signals. All decisions are tested elsewhere under fake time; here
+// only the plumbing between processes is.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/client"
+	"wigeontray/internal/record"
+	"wigeontray/internal/sample"
+	"wigeontray/internal/store"
+	"wigeontray/internal/store/standin"
+)
+
+// patience bounds every wait for real processes. It is far above what a wait
+// takes, so that a busy machine does not change the verdict.
+const patience = 60 * time.Second
+
+const token = "ayni-test-token"
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "wigeontray-e2e-")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "wigeontray/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one started binary.
+type process struct {
+	cmd *exec.Cmd
+	log *syncBuffer
+}
+
+func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+// kill ends the process at once, also when it is stopped, and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	_ = p.cmd.Wait()
+}
+
+// syncBuffer collects the output of a process.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// fleet is a store stand-in and upstreams in the test's process, and entries
+// and guards as processes.
+type fleet struct {
+	*qt.C
+	t         *testing.T
+	dir       string
+	kv        *standin.Server
+	kvURL     string
+	entries   map[string]*entryProcess
+	upstreams map[string]*sample.Upstream
+}
+
+type entryProcess struct {
+	*process
+	callers, inner, admin string // host:port
+}
+
+func (e *entryProcess) url() string { return "http://" + e.callers }
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		C: qt.New(t), t: t, dir: t.TempDir(), kv: standin.New(),
+		entries: make(map[string]*entryProcess), upstreams: make(map[string]*sample.Upstream),
+	}
+	srv := httptest.NewServer(f.kv)
+	t.Cleanup(func() {
+		f.kv.Close()
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	f.kvURL = srv.URL
+	hash := record.HashToken(token)
+	f.put(record.KindMember, "ayni", fmt.Sprintf(`{"kind":"member","name":"ayni","schema":1,"token_sha256":["%x"]}`, hash[:]))
+	f.put(record.KindService, "ayni/reserva", `{"kind":"service","name":"ayni/reserva","schema":1,"path":"/"}`)
+	return f
+}
+
+func (f *fleet) put(kind record.Kind, name, value string) {
+	kv := store.NewEtcd(store.Options{Endpoints: []string{f.kvURL}})
+	_, err := kv.Put(context.Background(), record.Key(kind, name), []byte(value), 0, 0)
+	f.Assert(err, qt.IsNil)
+}
+
+// freeAddr finds a loopback address that is free now.
+func (f *fleet) freeAddr() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fleet) start(binary string, args ...string) *process {
+	p := &process{cmd: exec.Command(filepath.Join(binaries, binary), args...), log: new(syncBuffer)}
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	f.Assert(p.cmd.Start(), qt.IsNil)
+	f.t.Cleanup(func() {
+		p.kill()
+		if f.t.Failed() {
+			f.t.Logf("%s %s:\n%s", binary, strings.Join(args, " "), p.log)
+		}
+	})
+	return p
+}
+
+func (f *fleet) file(name, content string) string {
+	path := filepath.Join(f.dir, name)
+	f.Assert(os.WriteFile(path, []byte(content), 0o600), qt.IsNil)
+	return path
+}
+
+// entry starts an entry that knows the entries started before as peers.
+func (f *fleet) entry(name string) *entryProcess {
+	e := &entryProcess{callers: f.freeAddr(), inner: f.freeAddr(), admin: f.freeAddr()}
+	var peers []string
+	for _, p := range f.entries {
+		peers = append(peers, p.inner)
+	}
+	ini := fmt.Sprintf(`[node]
+name = %s
+region = lima
+failure_domain = callao-a
+[listen]
+callers = %s
+inner = %s
+admin = %s
+[peers]
+addresses = %s
+[store]
+endpoints = %s
+`, name, e.callers, e.inner, e.admin, strings.Join(peers, ","), f.kvURL)
+	e.process = f.start("wigeontray", "serve", "--config", f.file(name+".ini", ini))
+	f.entries[name] = e
+	f.eventually("entry "+name+" is ready", func() bool { return f.status(e, "/readyz") == http.StatusOK })
+	return e
+}
+
+// worker starts an upstream in this process and a guard beside it.
+func (f *fleet) worker(name string) *process {
+	up := sample.New(name, 1)
+	srv := httptest.NewServer(up)
+	f.t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	f.upstreams[name] = up
+	return f.guard(name, srv.URL)
+}
+
+func (f *fleet) guard(name, upstream string) *process {
+	args := []string{"--service", "ayni/reserva", "--upstream", upstream, "--worker", name, "--domain", "callao-a", "--region", "lima"}
+	for _, e := range f.entries {
+		args = append(args, "--entry", e.inner)
+	}
+	p := f.start("wigeontray-guard", args...)
+	for id, e := range f.entries {
+		f.eventually("guard "+name+" is used by "+id, func() bool { return strings.Contains(f.get(e, "/v1/status"), `"`+name+`-`) })
+	}
+	return p
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(20 * time.Millisecond) // polls another process, which no fake clock reaches
+	}
+}
+
+func (f *fleet) get(e *entryProcess, path string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+e.admin+path, nil)
+	f.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	_, _ = b.ReadFrom(resp.Body)
+	return b.String()
+}
+
+func (f *fleet) status(e *entryProcess, path string) int {
+	resp, err := http.Get("http://" + e.admin + path)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func caller(entries ...*entryProcess) *client.Client {
+	c := &client.Client{Token: token, HTTP: &http.Client{Transport: &http.Transport{}}}
+	for _, e := range entries {
+		c.Entries = append(c.Entries, e.url())
+	}
+	return c
+}
+
+func job(sleepMs int, tasks int) *client.Job {
+	j := &client.Job{Service: "reserva", DeadlineMs: 20_000}
+	for range tasks {
+		j.Tasks = append(j.Tasks, json.RawMessage(fmt.Sprintf(`{"sleep_ms":%d}`, sleepMs)))
+	}
+	return j
+}
+
+// submitted starts a submission in the background.
+func (f *fleet) submitted(c *client.Client, key string, j *client.Job) <-chan *client.Answer {
+	out := make(chan *client.Answer, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		a, err := c.Submit(ctx, key, j)
+		if err != nil {
+			f.t.Logf("submit %s: %v", key, err)
+		}
+		out <- a
+	}()
+	return out
+}
+
+func (f *fleet) ticket(e *entryProcess) string {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	key, err := caller(e).Ticket(ctx)
+	f.Assert(err, qt.IsNil)
+	return key
+}
+
+// starts counts the starts at all upstreams, and fails if any task began twice.
+func (f *fleet) starts() int {
+	n := 0
+	for name, up := range f.upstreams {
+		f.Assert(up.Twice(), qt.HasLen, 0, qt.Commentf("tasks started twice at %s", name))
+		n += len(up.Starts())
+	}
+	return n
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -50,8 +50,9 @@
 	fenced  chan struct{} // closed when a roster declared this entry gone
 
 	callers, inner, admin *httpserve.Server
-	// LameDuck is as the constant; tests and the quickstart shorten it.
-	LameDuck time.Duration
+	// Abrupt makes a stop skip the lame duck and the roster: for the quickstart,
+	// which has no balancer and whose store ends with it.
+	Abrupt bool
 }
 
 // NewEntry opens the listeners and builds an entry. transport replaces the
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet key: %w", err)
 	}
-	e := &Entry{set: set, log: logger, metrics: telemetry.New(), LameDuck: lameDuck, fenced: make(chan struct{})}
+	e := &Entry{set: set, log: logger, metrics: telemetry.New(), fenced: make(chan struct{})}
 	registry := metrics.NewRegistry()
 	kv := store.NewEtcd(store.Options{
 		Endpoints: set.Store.Endpoints, Timeout: set.Store.Timeout,
@@ -215,13 +216,17 @@
 // elsewhere while all requests are still served; then fresh jobs are refused
 // and open ones finish; only then do connections close.
 func (e *Entry) stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), e.LameDuck+e.set.Limits.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), lameDuck+e.set.Limits.DrainTimeout)
 	defer cancel()
-	e.log.Info("entry leaves", "lame_duck", e.LameDuck)
+	e.log.Info("entry leaves")
 	e.server.Leave()
 	left := make(chan error, 1)
-	go func() { left <- e.router.Leave(ctx) }()
-	sleep(ctx, e.LameDuck)
+	if e.Abrupt {
+		left <- nil
+	} else {
+		go func() { left <- e.router.Leave(ctx) }()
+		sleep(ctx, lameDuck)
+	}
 	err := e.server.Drain(ctx)
 	if err != nil {
 		err = fmt.Errorf("stop cut off open jobs: %w", err)
--- a/internal/node/standalone.go
+++ b/internal/node/standalone.go
@@ -60,7 +60,7 @@
 	if s.Entry, err = NewEntry(set, &standin.Transport{Handler: s.kv}, logs); err != nil {
 		return nil, err
 	}
-	s.Entry.LameDuck = 0
+	s.Abrupt = true
 	for _, m := range SampleMembers() {
 		for _, d := range m.domains {
 			if err := s.addWorker(m, d); err != nil {
