--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -28,6 +28,7 @@
 	f := newFleet(t)
 	a, b := f.entry("entry-a"), f.entry("entry-b")
 	f.worker("worker-1")
+	f.settled()
 	key := f.ticket(a)
 	first := f.submitted(caller(a, b), key, job(500, 1))
 	f.eventually("the task starts", func() bool { return f.starts() == 1 })
@@ -43,6 +44,7 @@
 	f := newFleet(t)
 	a, b := f.entry("entry-a"), f.entry("entry-b")
 	f.worker("worker-1")
+	f.settled()
 	key := f.ticket(a)
 	a.kill()
 	answer := <-f.submitted(caller(b), key, job(10, 1))
@@ -61,6 +63,7 @@
 	f := newFleet(t)
 	a, b := f.entry("entry-a"), f.entry("entry-b")
 	f.worker("worker-1")
+	f.settled()
 	key := f.ticket(a)
 	a.signal(syscall.SIGSTOP)
 	late := f.submitted(caller(a), key, job(10, 1))
@@ -101,6 +104,7 @@
 	a, b := f.entry("entry-a"), f.entry("entry-b")
 	g := f.worker("worker-1")
 	f.worker("worker-2")
+	f.settled()
 	const callers, jobs = 8, 25
 	var wg sync.WaitGroup
 	var mu sync.Mutex
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -181,6 +181,23 @@
 	return e
 }
 
+// settled waits until all entries are in the roster of each.
+func (f *fleet) settled() {
+	for name, e := range f.entries {
+		f.eventually("the roster is known to "+name, func() bool {
+			var st struct {
+				Roster struct {
+					Members, Linked []string
+				}
+			}
+			if json.Unmarshal([]byte(f.get(e, "/v1/status")), &st) != nil {
+				return false
+			}
+			return len(st.Roster.Members) == len(f.entries) && len(st.Roster.Linked) == len(f.entries)-1
+		})
+	}
+}
+
 // worker starts an upstream in this process and a guard beside it.
 func (f *fleet) worker(name string) *process {
 	up := sample.New(name, 1)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,12 +104,15 @@
 	links    *linkTable
 	lanes    sync.Map // service to *lane; written once a service
 	laneMu   sync.Mutex
-	metrics  *telemetry.Registry
-	log      *log.Logger
-	traffic  *wire.Traffic
-	stopping atomic.Bool // fresh jobs are refused
-	leaving  atomic.Bool // not ready, but still serving
-	waiters  atomic.Int64
+	// announceMu keeps a guard's return and the decision to give up on it apart.
+	// Lock order: announceMu, then the router's own, then those of links and lanes.
+	announceMu sync.Mutex
+	metrics    *telemetry.Registry
+	log        *log.Logger
+	traffic    *wire.Traffic
+	stopping   atomic.Bool // fresh jobs are refused
+	leaving    atomic.Bool // not ready, but still serving
+	waiters    atomic.Int64
 
 	ctx context.Context // ends with Close
 	end context.CancelFunc
@@ -138,6 +141,8 @@
 	m.ReadCounter(telemetry.BytesIn, s.traffic.BytesIn.Load)
 	m.ReadGauge(telemetry.Waiters, s.waiters.Load)
 	m.ReadGauge(telemetry.ConfigRevision, func() int64 { return s.config.Revision() })
+	m.ReadGauge(telemetry.Peers, func() int64 { return int64(len(s.router.Roster().Linked)) })
+	m.ReadGauge(telemetry.RosterVersion, func() int64 { return s.router.Roster().Version })
 	m.ReadGauge(telemetry.Guards, func() int64 { return int64(len(s.links.all())) })
 	m.ReadGauge(telemetry.JobsHeld, func() int64 { held, _ := s.registry.Count(); return int64(held) })
 	m.ReadGauge(telemetry.JobsOpen, func() int64 { _, open := s.registry.Count(); return int64(open) })
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -139,6 +139,20 @@
 	})
 }
 
+// A guard is cut off for so long that the entry gives up on it, and returns. It
+// must be used again, or the fleet would shrink with every cut.
+func TestGuardReturnsAfterALongCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.guard("guard-1", 8).Close("cut")
+		time.Sleep(2 * forgetAfter)
+		g := b.guard("guard-1", 8)
+		answer := b.post("ayni", b.ticket(), booking)
+		b.ok(g, b.next(g).Start, `1`)
+		b.Assert((<-answer).Code, qt.Equals, http.StatusOK)
+	})
+}
+
 // A worker dies with a task. Nobody can know whether the task ran, so the
 // caller is told exactly that, soon, and the task goes to no other worker.
 func TestGuardDiesWithTask(t *testing.T) {
--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -49,8 +49,8 @@
 	s.log.Info("guard up", "guard", hello.Incarnation, "service", hello.Service, "worker", hello.Worker, "slots", hello.Slots)
 	s.metrics.Inc(telemetry.LinksOpened)
 	s.shareConfig(link, hello.Revision)
-	s.router.GuardUp(hello.Incarnation)
 	l := s.lane(hello.Service)
+	s.announce(g)
 	err = s.pump(ctx, l, g)
 	l.down(g)
 	s.metrics.Inc(telemetry.LinksLost)
@@ -65,9 +65,22 @@
 // on the guard. It exceeds the time for which tasks in doubt are held.
 const forgetAfter = 30 * time.Second
 
+// announce makes a linked guard usable: at once if it was before its link broke,
+// else when the router says so.
+func (s *Server) announce(g *guardLink) {
+	s.announceMu.Lock()
+	defer s.announceMu.Unlock()
+	s.router.GuardUp(g.hello.Incarnation)
+	if s.links.ready(g.hello.Incarnation) {
+		s.GuardReady(g.hello.Incarnation)
+	}
+}
+
 // forget gives up on a guard that has not come back.
 func (s *Server) forget(g identity.Incarnation) {
-	if !s.links.has(g) && s.ctx.Err() == nil {
+	s.announceMu.Lock()
+	defer s.announceMu.Unlock()
+	if s.ctx.Err() == nil && s.links.forget(g) {
 		s.metrics.Inc(telemetry.GuardsLost)
 		s.router.GuardLost(g)
 	}
@@ -76,7 +89,7 @@
 // GuardReady lets the lane use a linked guard. The router calls it once those
 // that would have to answer for this entry after its death know of the guard.
 func (s *Server) GuardReady(id identity.Incarnation) {
-	g := s.links.get(id)
+	g := s.links.setReady(id)
 	if g == nil {
 		return
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -47,12 +47,19 @@
 type soleRouter struct {
 	id    identity.Incarnation
 	ready func(identity.Incarnation)
+	known map[identity.Incarnation]bool
 }
 
 func (r *soleRouter) MayStart(string, identity.Key) *errkind.Error { return nil }
-func (r *soleRouter) GuardUp(g identity.Incarnation)               { r.ready(g) }
-func (r *soleRouter) GuardDown(identity.Incarnation)               {}
-func (r *soleRouter) GuardLost(identity.Incarnation)               {}
+func (r *soleRouter) GuardUp(g identity.Incarnation) {
+	if !r.known[g] { // as the real one, it says so once
+		r.known[g] = true
+		r.ready(g)
+	}
+}
+func (r *soleRouter) Roster() RosterStatus             { return RosterStatus{} }
+func (r *soleRouter) GuardDown(identity.Incarnation)   {}
+func (r *soleRouter) GuardLost(g identity.Incarnation) { delete(r.known, g) }
 func (r *soleRouter) Owner(_ string, k identity.Key) (identity.Incarnation, *errkind.Error) {
 	if k.Home != "" {
 		return k.Home, nil
@@ -78,7 +85,7 @@
 
 func newBench(t *testing.T) *bench {
 	const id = "entry-a-000001"
-	router := &soleRouter{id: id}
+	router := &soleRouter{id: id, known: make(map[identity.Incarnation]bool)}
 	s := New(Options{
 		ID: id, Config: &fixedConfig{revision: 7}, Router: router,
 		Metrics: telemetry.New(), Log: log.New(io.Discard), FleetKey: "fleet",
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -121,9 +121,14 @@
 }
 
 // up puts a guard's new link in place of an older one of the same incarnation.
+// A link that is in place already stays.
 func (l *lane) up(g *guardLink) {
 	l.do(func(now time.Time, m dispatch.Machine) {
-		if old := l.links[g.hello.Incarnation]; old != nil {
+		old := l.links[g.hello.Incarnation]
+		if old == g {
+			return
+		}
+		if old != nil {
 			old.link.Close("superseded")
 			m.GuardDown(now, g.hello.Incarnation)
 		}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -13,11 +13,12 @@
 	mu     sync.Mutex
 	links  map[identity.Incarnation]*guardLink
 	revs   map[identity.Incarnation]int64
+	usable map[identity.Incarnation]bool // the router allowed starts; outlives a broken link
 	closed bool
 }
 
 func newLinkTable() *linkTable {
-	return &linkTable{links: make(map[identity.Incarnation]*guardLink), revs: make(map[identity.Incarnation]int64)}
+	return &linkTable{links: make(map[identity.Incarnation]*guardLink), revs: make(map[identity.Incarnation]int64), usable: make(map[identity.Incarnation]bool)}
 }
 
 // add puts g in the table; false after close.
@@ -50,7 +51,30 @@
 	return t.links[id]
 }
 
-func (t *linkTable) has(id identity.Incarnation) bool { return t.get(id) != nil }
+// setReady notes that id may be used and gives its link, if it has one.
+func (t *linkTable) setReady(id identity.Incarnation) *guardLink {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.usable[id] = true
+	return t.links[id]
+}
+
+func (t *linkTable) ready(id identity.Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.usable[id]
+}
+
+// forget drops what is known of an unlinked guard; false if it is linked.
+func (t *linkTable) forget(id identity.Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.links[id] != nil {
+		return false
+	}
+	delete(t.usable, id)
+	return true
+}
 
 func (t *linkTable) acked(g *guardLink, revision int64) {
 	t.mu.Lock()
--- a/internal/entry/peerrouter.go
+++ b/internal/entry/peerrouter.go
@@ -57,6 +57,22 @@
 	return "", errkind.New(errkind.HomeUnreachable, "the roster is changing")
 }
 
+// Roster implements Router.
+func (r *PeerRouter) Roster() RosterStatus {
+	v := r.View()
+	out := RosterStatus{HorizonMs: v.HorizonMs(), Members: []identity.Incarnation{}, Linked: []identity.Incarnation{}}
+	if last, ok := v.Last(); ok {
+		out.Version = last.Version
+		for _, m := range last.Members {
+			out.Members = append(out.Members, m.Incarnation)
+		}
+	}
+	for _, p := range r.Peers.Peers() {
+		out.Linked = append(out.Linked, p.Addr.Incarnation)
+	}
+	return out
+}
+
 // Recover implements Router.
 func (r *PeerRouter) Recover(ctx context.Context, home identity.Incarnation, member string, key identity.Key) *Recovered {
 	f := r.Peers.Recover(ctx, recovery.Job{Member: member, Key: key.Text, BirthMs: key.BirthMs, Home: home})
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -44,6 +44,19 @@
 	GuardLost(g identity.Incarnation)
 	// FromGuard takes a FenceReport or Collected.
 	FromGuard(g identity.Incarnation, f *wire.Frame)
+	// Roster tells what is in force, for operators.
+	Roster() RosterStatus
+}
+
+// RosterStatus is the roster as an entry knows it.
+type RosterStatus struct {
+	Version int64                  `json:"version"`
+	Members []identity.Incarnation `json:"members"`
+	// HorizonMs is the birth below which plain identities may start now, in
+	// milliseconds of the Unix epoch.
+	HorizonMs int64 `json:"horizon_ms"`
+	// Linked are the entries with a link to this one.
+	Linked []identity.Incarnation `json:"linked"`
 }
 
 // Recovered is what could be proved about a job of an entry that is gone.
@@ -96,7 +109,7 @@
 		return errorReply(q.key.Text, refusal)
 	}
 	s.metrics.Inc(telemetry.JobsForwarded)
-	f := &wire.Forward{Op: q.op, Member: q.member, Key: q.key.Text, WaitMs: q.wait.Milliseconds(), Body: q.body}
+	f := &wire.Forward{Op: q.op, Member: q.member, Key: q.key.Text, LeftMs: bound.Milliseconds(), WaitMs: q.wait.Milliseconds(), Body: q.body}
 	sent, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	got, err := s.router.Forward(sent, owner, f)
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -17,6 +17,7 @@
 	Behind   int                  `json:"guards_behind"` // guards that have not confirmed the revision
 	Open     int                  `json:"jobs_open"`
 	Held     int                  `json:"jobs_held"`
+	Roster   RosterStatus         `json:"roster"`
 	Services []serviceStatus      `json:"services"`
 	Refusals map[string]int64     `json:"refusals"`
 }
@@ -68,7 +69,7 @@
 	held, open := s.registry.Count()
 	b := &statusBody{
 		Entry: s.id, Software: s.opts.Software, Ready: s.Ready(), Revision: revision,
-		Behind: s.links.behind(revision), Open: open, Held: held,
+		Behind: s.links.behind(revision), Open: open, Held: held, Roster: s.router.Roster(),
 		Services: []serviceStatus{}, Refusals: make(map[string]int64),
 	}
 	s.eachLane(func(l *lane) { b.Services = append(b.Services, l.status()) })
