seal: configuration leaves the entries sealed

Ruled out: a MAC alone, as it hides nothing; guards that keep nothing, as an entry started in an outage would have no configuration.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -12,6 +12,7 @@
 )
 
 func TestServesARequestThroughProcesses(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	e := f.entry("entry-a")
 	f.worker("worker-1")
@@ -25,6 +26,7 @@
 // The kiosk asks another entry, under the same identity. It gets the result of
 // the one run, which the guard still holds.
 func TestEntryKilledAfterTheStart(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	a, b := f.entry("entry-a"), f.entry("entry-b")
 	f.worker("worker-1")
@@ -41,6 +43,7 @@
 // An entry is killed before a booking reached it. Asked at another entry, the
 // system proves that the booking never ran, so the kiosk may book anew at once.
 func TestEntryKilledBeforeTheStart(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	a, b := f.entry("entry-a"), f.entry("entry-b")
 	f.worker("worker-1")
@@ -60,6 +63,7 @@
 // goes on after the others have declared it gone and told the caller "not run".
 // What it then sends to guards must be refused.
 func TestEntryFrozenPastItsLease(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	a, b := f.entry("entry-a"), f.entry("entry-b")
 	f.worker("worker-1")
@@ -82,6 +86,7 @@
 // A worker's VM dies with a task. The caller is told that the outcome is
 // unknown, and the next booking goes to the other worker.
 func TestGuardKilled(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	e := f.entry("entry-a")
 	g := f.worker("worker-1")
@@ -100,6 +105,7 @@
 // Entries and guards are stopped as planned, one after the other, while callers
 // submit. Nobody's request is cut off, and nothing runs twice.
 func TestPlannedStopsUnderLoad(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	a, b := f.entry("entry-a"), f.entry("entry-b")
 	g := f.worker("worker-1")
@@ -139,6 +145,7 @@
 // The platform's store goes down for long. Running processes go on; an entry
 // that starts in the outage takes the configuration from the others.
 func TestStoreDown(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	a := f.entry("entry-a")
 	f.worker("worker-1")
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -9,6 +9,7 @@
 	"wigeontray/internal/dispatch"
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/record"
+	"wigeontray/internal/seal"
 	"wigeontray/internal/wire"
 )
 
@@ -16,20 +17,23 @@
 type SyncedConfig struct {
 	sync   *confsync.Sync
 	region string
+	box    *seal.Box
+	forged func() // counts a snapshot that is not of this fleet
 
 	mu      sync.Mutex
 	encoded *wire.Config // of the snapshot at its Revision
 }
 
-// NewSyncedConfig serves s to an entry in region.
-func NewSyncedConfig(s *confsync.Sync, region string) *SyncedConfig {
-	return &SyncedConfig{sync: s, region: region}
+// NewSyncedConfig serves s to an entry in region. Snapshots travel in box;
+// forged is called for each that does not open.
+func NewSyncedConfig(s *confsync.Sync, region string, box *seal.Box, forged func()) *SyncedConfig {
+	return &SyncedConfig{sync: s, region: region, box: box, forged: forged}
 }
 
 // Revision implements Config.
 func (c *SyncedConfig) Revision() int64 { return c.sync.Revision() }
 
-// Encoded implements Config. A snapshot is encoded once, however many guards
+// Encoded implements Config. A snapshot is encoded and sealed once, however many guards
 // there are to send it to.
 func (c *SyncedConfig) Encoded() *wire.Config {
 	snap := c.sync.Current()
@@ -45,15 +49,21 @@
 	if err != nil {
 		return nil // a snapshot that was decoded or built encodes
 	}
-	c.encoded = &wire.Config{Revision: snap.Revision, Snapshot: b}
+	c.encoded = &wire.Config{Revision: snap.Revision, Snapshot: c.box.Seal(snap.Revision, b)}
 	return c.encoded
 }
 
 // Offer implements Config.
 func (c *SyncedConfig) Offer(offered *wire.Config) {
-	if offered.Revision > c.sync.Revision() {
-		_, _ = c.sync.Offer(offered.Snapshot) // confsync counts what it cannot take
+	if offered.Revision <= c.sync.Revision() {
+		return
 	}
+	b, err := c.box.Open(offered.Revision, offered.Snapshot)
+	if err != nil {
+		c.forged()
+		return
+	}
+	_, _ = c.sync.Offer(b) // confsync counts what it cannot take
 }
 
 // Member implements Config.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -22,6 +22,7 @@
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
 	"wigeontray/internal/peers"
+	"wigeontray/internal/seal"
 	"wigeontray/internal/settings"
 	"wigeontray/internal/store"
 	"wigeontray/internal/telemetry"
@@ -117,7 +118,11 @@
 	if err != nil {
 		return err
 	}
-	config := entry.NewSyncedConfig(e.sync, e.set.Region)
+	box, err := seal.New(key)
+	if err != nil {
+		return err
+	}
+	config := entry.NewSyncedConfig(e.sync, e.set.Region, box, func() { e.metrics.Inc(telemetry.ConfigsForged) })
 	traffic := new(wire.Traffic)
 	router, bind := entry.NewPeerRouter(peers.Options{
 		Self: self, Region: e.set.Region, Key: key, Store: kv, Seeds: e.set.Peers,
--- a/internal/node/standalone.go
+++ b/internal/node/standalone.go
@@ -156,4 +156,3 @@
 	}
 	return nil
 }
-
