dispatch: late binding when slots are believed taken; baselines to measure against

Change: a task that finds no free slot, or was refused once, is bound by an offer; a guard that owes an offer is not sent to without one; a reservation is made at two guards for each waiting task; big jobs' tails are spaced by 20 ms; teams within 64 tasks of their share keep to order of arrival.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -76,6 +76,11 @@
 	for i := range j.tasks {
 		c.enqueue(&j.tasks[i])
 	}
+	for _, g := range c.guards {
+		if g != nil {
+			g.declined = false
+		}
+	}
 	c.pump(now)
 	return nil
 }
@@ -124,16 +129,15 @@
 }
 
 // pump sends waiting tasks for as long as a worker is believed to have a free
-// slot.
+// slot or has offered one, and reserves slots for what is left.
 func (c *Core) pump(now time.Time) {
-	for c.queue.Len() > 0 && c.anyFree() {
-		t, _ := c.queue.Pop()
-		if t.state != waiting || c.jobs[t.job.spec.ID] != t.job {
-			continue // its job was finished while it waited
+	for c.queue.Len() > 0 && c.mayPlace() {
+		t, ok := c.next()
+		if !ok {
+			break
 		}
-		q := sched.Query{Domain: c.domains.number(c.policy.Domain), Avoid: t.refused}
-		if at := sched.LeastLoad(c.workers, &q, c.rng); at != sched.NoWorker {
-			c.send(now, t, at)
+		if at := c.place(t); at != sched.NoWorker {
+			c.send(now, t, at, 0)
 		} else {
 			c.aside = append(c.aside, t)
 		}
@@ -142,12 +146,57 @@
 		c.enqueue(t)
 	}
 	c.aside = c.aside[:0]
-	if c.queue.Len() > 0 && !c.polling {
+	if c.queue.Len() == 0 {
+		return
+	}
+	c.reserve(now)
+	if !c.polling {
 		c.polling = true
 		c.timers.add(now.Add(pollEvery), timer{poll: true})
 	}
 }
 
+// next takes the next task that still waits.
+func (c *Core) next() (*task, bool) {
+	for {
+		t, ok := c.queue.Pop()
+		if !ok {
+			return nil, false
+		}
+		if t.state == waiting && t.job.tasks != nil {
+			return t, true
+		}
+	}
+}
+
+// mayPlace tells whether place can succeed for a task without refusals.
+func (c *Core) mayPlace() bool {
+	switch c.policy.Placement {
+	case LateBinding:
+		return false
+	case Chosen, LeastKnown:
+		return c.anyFree()
+	}
+	return c.anyUsable()
+}
+
+// place chooses a worker for t, or sched.NoWorker.
+func (c *Core) place(t *task) int {
+	q := sched.Query{Domain: c.domains.number(c.policy.Domain), Avoid: t.refused}
+	switch c.policy.Placement {
+	case Random:
+		return sched.AnyUsable(c.workers, &q, c.rng)
+	case TwoChoices:
+		return sched.OfTwo(c.workers, &q, c.rng, false)
+	case TwoChoicesLoad:
+		return sched.OfTwo(c.workers, &q, c.rng, true)
+	}
+	if len(t.refused) > 0 && c.reserves() && len(c.places)-len(t.refused) > lastGuards {
+		return sched.NoWorker
+	}
+	return sched.LeastLoad(c.workers, &q, c.rng)
+}
+
 // Doubt about old load reports.
 const (
 	pollEvery = 20 * time.Millisecond
@@ -178,10 +227,11 @@
 
 // send hands t to the worker at place at. From here on the task may have
 // started, until the guard's final word says that it did not.
-func (c *Core) send(now time.Time, t *task, at int) {
+func (c *Core) send(now time.Time, t *task, at int, offer uint64) {
 	g := c.guards[at]
 	t.state = sent
 	start := c.start(now, t)
+	start.Offered = offer
 	c.flights[start.Ref] = &flight{ref: start.Ref, task: t, guard: g, sent: now, queued: start.WaitMs > 0}
 	c.workers[at].Own++
 	c.act(Action{Guard: g.incarnation, Start: start})
@@ -198,6 +248,10 @@
 // told to keep it; otherwise a task that was refused Busy everywhere could
 // never run.
 func (c *Core) waitMs(t *task, left int64) int64 {
+	switch c.policy.Placement {
+	case Random, TwoChoices, TwoChoicesLoad:
+		return left
+	}
 	if c.policy.Weighting == WeighMessages || len(c.places)-len(t.refused) <= lastGuards {
 		return left
 	}
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -25,6 +25,9 @@
 	downs       int    // link losses; tells a stale grace timer from a due one
 	seq         uint64 // of the newest load report
 	heard       time.Time
+	want        int       // offers that it still owes
+	reserved    time.Time // when it was last asked for offers
+	declined    bool      // its offer was of no use to the tasks that wait
 }
 
 // flight is one task that was sent and not answered.
@@ -128,6 +131,7 @@
 	}
 	g.up = false
 	g.downs++
+	c.setWant(g, 0)
 	c.setState(g)
 	c.timers.add(now.Add(c.policy.Grace), timer{guard: g, downs: g.downs})
 }
@@ -181,14 +185,6 @@
 	}
 }
 
-// Offer implements Machine.
-func (c *Core) Offer(now time.Time, inc identity.Incarnation, o *wire.Offer) {
-	if g := c.guardAt(inc); g != nil {
-		c.takeLoad(now, g, &o.Load)
-		c.pump(now)
-	}
-}
-
 // takeLoad notes a guard's report unless a newer one came first: a late one
 // would show slots as free that have been taken since.
 func (c *Core) takeLoad(now time.Time, g *guard, l *wire.Load) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"wigeontray/internal/errkind"
@@ -31,6 +32,8 @@
 	return wire.Ref{Member: id.Member, Key: id.Key, Task: t.index}
 }
 
+func (t *task) wasRefusedBy(place int32) bool { return slices.Contains(t.refused, place) }
+
 // job is an accepted submission that has not been answered.
 type job struct {
 	spec    *Spec
--- /dev/null
+++ b/internal/dispatch/offer.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"time"
+
+	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// Late binding: while tasks wait and no slot is believed free, the entry
+// reserves slots at the guards, and a guard offers one when it frees. The task
+// is bound to a worker at that moment, so it never waits behind another one.
+
+// mostReserved bounds what is reserved at one guard at a time.
+const mostReserved = 4
+
+// reservePerTask is at how many guards each waiting task reserves.
+const reservePerTask = 2
+
+// renewAfter is when a reservation that brought no offer is sent again. Offers
+// and reservations can cross on a link, and the two ends then disagree on what
+// is owed; without the repetition a queue could wait for an offer for good.
+const renewAfter = 250 * time.Millisecond
+
+// Offer implements Machine.
+func (c *Core) Offer(now time.Time, inc identity.Incarnation, o *wire.Offer) {
+	g := c.guardAt(inc)
+	if g == nil || !g.up {
+		return
+	}
+	c.setWant(g, g.want-1)
+	c.takeLoad(now, g, &o.Load)
+	if t, ok := c.nextFor(int32(g.place)); ok {
+		c.send(now, t, g.place, o.ID)
+	} else {
+		c.decline(g)
+	}
+	c.pump(now)
+}
+
+// decline withdraws all reservations at g, so that a slot that nobody here
+// needs is not held idle.
+func (c *Core) decline(g *guard) {
+	c.setWant(g, 0)
+	g.declined = true
+	c.act(Action{Guard: g.incarnation, Reserve: &wire.Reserve{}})
+}
+
+// nextFor takes the next task that the worker at a place has not refused.
+func (c *Core) nextFor(place int32) (*task, bool) {
+	for {
+		t, ok := c.next()
+		if !ok {
+			return nil, false
+		}
+		if !t.wasRefusedBy(place) {
+			return t, true
+		}
+		c.aside = append(c.aside, t)
+	}
+}
+
+// reserve asks guards for slots for the tasks that wait, spread evenly. A guard
+// that still owes offers is not asked again.
+func (c *Core) reserve(now time.Time) {
+	if !c.reserves() {
+		return
+	}
+	n := len(c.guards)
+	waiting := c.queue.Len()
+	each := min(mostReserved, (waiting+n-1)/n)
+	asked := min(n, reservePerTask*waiting)
+	for i, at := 0, c.rng.IntN(n); i < n && asked > 0; i, at = i+1, (at+1)%n {
+		g := c.guards[at]
+		if g == nil || c.workers[at].State != sched.Usable || g.declined {
+			continue
+		}
+		asked--
+		if g.want == 0 || now.Sub(g.reserved) > renewAfter {
+			c.setWant(g, each)
+			g.reserved = now
+			c.act(Action{Guard: g.incarnation, Reserve: &wire.Reserve{Want: each}})
+		}
+	}
+}
+
+func (c *Core) reserves() bool {
+	switch c.policy.Placement {
+	case LateBinding:
+		return true
+	case Chosen:
+		return c.policy.Weighting == WeighResponse
+	}
+	return false
+}
+
+func (c *Core) setWant(g *guard, want int) {
+	g.want = max(0, want)
+	c.workers[g.place].Reserved = g.want > 0
+}
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -38,6 +38,10 @@
 		c.complete(t, r)
 	case r.Ran == errkind.RanNo && retryable(r.Kind):
 		t.refused = append(t.refused, int32(f.guard.place))
+		if w := &c.workers[f.guard.place]; r.Kind == errkind.Busy {
+			// Its free slots, if it reports any, are held for offers.
+			w.Others = max(w.Others, w.Slots-w.Own)
+		}
 		c.retry(now, t, r)
 	default:
 		c.fail(now, t.job, failure{known: true, task: t.index, kind: r.Kind, ran: r.Ran, detail: r.Detail})
--- a/internal/replay/check.go
+++ b/internal/replay/check.go
@@ -124,8 +124,7 @@
 	if a.kind == errkind.None && len(a.results) != len(j.req.Tasks) {
 		c.violate("answer to %s has %d of %d results", j.name, len(a.results), len(j.req.Tasks))
 	}
-	// A draining entry speaks for itself only: the same identity may run later.
-	if a.ran == errkind.RanNo && a.kind != errkind.Draining {
+	if a.ran == errkind.RanNo {
 		for i := range j.req.Tasks {
 			c.claim(wire.Ref{Member: j.member, Key: j.key, Task: i}, errkind.RanNo)
 		}
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -100,7 +100,8 @@
 		return
 	}
 	if e.draining {
-		e.w.answer(c, &answer{kind: errkind.Draining, ran: errkind.RanNo})
+		e.jobs[c.job.key] = &held{answer: &answer{kind: errkind.Draining, ran: errkind.RanNo}}
+		e.w.answer(c, e.jobs[c.job.key].answer)
 		return
 	}
 	h := &held{waiting: []*call{c}}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -63,3 +63,43 @@
 	}
 	return s
 }
+
+// choices is how many workers TwoChoices compares.
+const choices = 2
+
+// AnyUsable picks a usable worker at random, whatever its load.
+func AnyUsable(ws []Worker, q *Query, rng *rand.Rand) int {
+	if len(ws) == 0 {
+		return NoWorker
+	}
+	at := rng.IntN(len(ws))
+	for range ws {
+		if ws[at].State == Usable && !q.avoids(int32(at)) {
+			return at
+		}
+		if at++; at == len(ws) {
+			at = 0
+		}
+	}
+	return NoWorker
+}
+
+// OfTwo picks the better of two usable workers drawn at random: by the tasks
+// that this entry has there, or with others by all tasks known there.
+func OfTwo(ws []Worker, q *Query, rng *rand.Rand, others bool) int {
+	best := NoWorker
+	for range choices {
+		at := AnyUsable(ws, q, rng)
+		if best == NoWorker || at != NoWorker && taken(&ws[at], others) < taken(&ws[best], others) {
+			best = at
+		}
+	}
+	return best
+}
+
+func taken(w *Worker, others bool) int32 {
+	if others {
+		return w.Own + w.Others
+	}
+	return w.Own
+}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -7,7 +7,7 @@
 
 // Bounds of Spacing.
 const (
-	maxSpacing  = 5 * time.Millisecond
+	maxSpacing  = 20 * time.Millisecond
 	spacingPart = 2
 )
 
@@ -73,20 +73,30 @@
 	q.size++
 }
 
-// Pop takes the next item in fair order.
+// credit is by how many tasks a flow may run ahead of its fair share before
+// order of Due gives way to fairness. Without it, flows that all keep to their
+// share are interleaved for nothing: their jobs wait longer than in one queue.
+const credit = 64
+
+// Pop takes the next item: the least Due among the flows that are not ahead of
+// their share.
 func (q *Queue[T]) Pop() (T, bool) {
+	if len(q.live) == 0 {
+		var none T
+		return none, false
+	}
+	least := q.live[0].start
+	for _, f := range q.live {
+		least = min(least, f.start)
+	}
 	best := -1
 	for i, f := range q.live {
-		if best < 0 || f.start < q.live[best].start {
+		if f.start <= least+credit && (best < 0 || f.before(q.live[best])) {
 			best = i
 		}
 	}
-	if best < 0 {
-		var none T
-		return none, false
-	}
 	f := q.live[best]
-	q.clock = f.start
+	q.clock = least
 	f.start += 1 / f.weight
 	it := heap.Pop(&f.items).(Item[T])
 	q.size--
@@ -97,6 +107,14 @@
 	return it.Value, true
 }
 
+func (f *flow[T]) before(g *flow[T]) bool {
+	a, b := &f.items[0], &g.items[0]
+	if a.Due != b.Due {
+		return a.Due < b.Due
+	}
+	return a.seq < b.seq
+}
+
 // Len is the number of items in all flows.
 func (q *Queue[T]) Len() int { return q.size }
 
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -8,15 +8,15 @@
 
 // Shape of the learned run times.
 const (
-	runWindows   = 4   // windows that count; the oldest is dropped
-	runWindow    = 500 // observations in a window
-	runRefresh   = 50  // observations between two looks at the quantiles
-	runKnown     = 20  // observations from which on they are trusted
-	runMaxMs     = 10 * 60 * 1000
-	runDigits    = 2
-	quantileP10  = 10
-	quantileP90  = 90
-	quantileP99  = 99
+	runWindows  = 4   // windows that count; the oldest is dropped
+	runWindow   = 500 // observations in a window
+	runRefresh  = 50  // observations between two looks at the quantiles
+	runKnown    = 20  // observations from which on they are trusted
+	runMaxMs    = 10 * 60 * 1000
+	runDigits   = 2
+	quantileP10 = 10
+	quantileP90 = 90
+	quantileP99 = 99
 )
 
 // RunTimes learns how long the tasks of a service run. Declared run times are
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -15,6 +15,9 @@
 	Domain uint16 // number of its failure domain
 	Rack   uint16 // number of its rack
 	State  State
+	// Reserved tells that the worker owes this entry an offer: its next free
+	// slots come as offers, and a task sent without one would be refused.
+	Reserved bool
 }
 
 // State tells whether a worker may be given tasks.
@@ -31,7 +34,7 @@
 
 // Free is the number of slots that are believed to be free.
 func (w *Worker) Free() int32 {
-	if w.State != Usable {
+	if w.State != Usable || w.Reserved {
 		return 0
 	}
 	free := w.Slots - w.Own - w.Others
