--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -102,6 +101,18 @@
 	callers, inner, admin string // host:port
 }
 
+// readAddresses finds in the log which ports the entry was given.
+func (e *entryProcess) readAddresses() bool {
+	for line := range strings.Lines(e.log.String()) {
+		var l struct{ Msg, Callers, Inner, Admin string }
+		if json.Unmarshal([]byte(line), &l) == nil && l.Msg == "entry serves" {
+			e.callers, e.inner, e.admin = l.Callers, l.Inner, l.Admin
+			return true
+		}
+	}
+	return false
+}
+
 func (e *entryProcess) url() string { return "http://" + e.callers }
 
 func newFleet(t *testing.T) *fleet {
@@ -128,14 +139,6 @@
 	f.Assert(err, qt.IsNil)
 }
 
-// freeAddr finds a loopback address that is free now.
-func (f *fleet) freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	f.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (f *fleet) start(binary string, args ...string) *process {
 	p := &process{cmd: exec.Command(filepath.Join(binaries, binary), args...), log: new(syncBuffer)}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
@@ -157,7 +160,6 @@
 
 // entry starts an entry that knows the entries started before as peers.
 func (f *fleet) entry(name string) *entryProcess {
-	e := &entryProcess{callers: f.freeAddr(), inner: f.freeAddr(), admin: f.freeAddr()}
 	var peers []string
 	for _, p := range f.entries {
 		peers = append(peers, p.inner)
@@ -167,15 +169,18 @@
 region = lima
 failure_domain = callao-a
 [listen]
-callers = %s
-inner = %s
-admin = %s
+callers = 127.0.0.1:0
+inner = 127.0.0.1:0
+admin = 127.0.0.1:0
 [peers]
 addresses = %s
 [store]
 endpoints = %s
-`, name, e.callers, e.inner, e.admin, strings.Join(peers, ","), f.kvURL)
-	e.process = f.start("wigeontray", "serve", "--config", f.file(name+".ini", ini))
+[log]
+format = json
+`, name, strings.Join(peers, ","), f.kvURL)
+	e := &entryProcess{process: f.start("wigeontray", "serve", "--config", f.file(name+".ini", ini))}
+	f.eventually("entry "+name+" tells its addresses", e.readAddresses)
 	f.entries[name] = e
 	f.eventually("entry "+name+" is ready", func() bool { return f.status(e, "/readyz") == http.StatusOK })
 	return e
