store, record, confsync, settings: first form

Cause: the entry needs a configuration that stays in force through outages of the platform's store, and settings that are checked at start.

Ruled out: the etcd client module, which the registry does not have; a client that tries a write on the next endpoint after any failure, since a write whose answer was lost would meet its own first copy. go-metrics' Timer for latencies: it starts a goroutine that never ends, on which testing/synctest waits for ever.

Each test of the store's client was seen failing against the naive form: write repeated by net/http (an Idempotency-Key header and a rewindable body), write sent to a second endpoint, compaction passed over, lapsed lease passed over, no time limit on a call.

--- /dev/null
+++ b/internal/confsync/amend.go
@@ -0,0 +1,160 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/record"
+	"wigeontray/internal/store"
+)
+
+// Timing of the search for the outcome of a write.
+const (
+	// DefaultResolveWithin bounds the whole search.
+	DefaultResolveWithin = 10 * time.Second
+	resolvePause         = 200 * time.Millisecond
+	// historyWait is how long the history of a key that does not exist is
+	// watched; a store delivers what it holds in milliseconds.
+	historyWait = 500 * time.Millisecond
+)
+
+// ConflictError tells an operator what stands in the way of an amendment.
+type ConflictError struct {
+	// Current is the revision of the record in the store, 0 if there is none.
+	Current int64
+}
+
+// Error tells the current revision.
+func (e *ConflictError) Error() string {
+	if e.Current == 0 {
+		return "the record does not exist"
+	}
+	return fmt.Sprintf("the record is at revision %d", e.Current)
+}
+
+// change is one amendment on its way.
+type change struct {
+	kind    record.Kind
+	name    string
+	value   []byte // nil to delete
+	expect  int64
+	writeID string
+	base    int64 // the change can only have happened after this revision
+}
+
+func (c *change) key() string { return record.Key(c.kind, c.name) }
+
+// Put writes a record if its revision still is expect (0: it must not exist),
+// and gives its new revision.
+//
+// Its outcome is told truthfully. A nil error means that the write took effect.
+// RecordInvalid means that nothing was sent. RecordConflict, which wraps a
+// ConflictError, means that somebody else's change came first and this one had
+// no effect. StoreUnavailable with RanUnknown means that the outcome could not
+// be found out within ResolveWithin or ctx; with RanNo, nothing was written.
+//
+// If the answer to the write is lost, the record's write identity is looked up
+// in the store's history of the key, and the same compare-and-swap is sent
+// again where the history shows that the first had no effect.
+func (s *Sync) Put(ctx context.Context, kind record.Kind, name string, value []byte, expect int64) (int64, error) {
+	if _, err := record.ParseAs(kind, name, value); err != nil {
+		s.count("amend.invalid")
+		return 0, errkind.New(errkind.RecordInvalid, "%w", err)
+	}
+	id := uuid.NewString()
+	value, err := record.WithWriteID(value, id)
+	if err != nil {
+		return 0, errkind.New(errkind.RecordInvalid, "%w", err)
+	}
+	if len(value) > record.MaxSize {
+		return 0, errkind.New(errkind.RecordInvalid, "%d bytes exceed %d", len(value), record.MaxSize)
+	}
+	return s.amend(ctx, &change{kind: kind, name: name, value: value, expect: expect, writeID: id})
+}
+
+// Delete removes a record if its revision still is expect; outcomes are as for
+// Put. A deletion carries no write identity: when the answer is lost and the
+// first change after expect is a deletion, it counts as this one.
+//
+// Deleting a member ends its tokens and takes its services, jobs and policies
+// out of force without deleting them; they come back with the member. Deleting
+// a service takes its jobs out of force, and its policy has nothing to apply
+// to. Requests that were accepted before finish under what was in force then.
+func (s *Sync) Delete(ctx context.Context, kind record.Kind, name string, expect int64) (int64, error) {
+	if err := record.CheckName(kind, name); err != nil {
+		return 0, errkind.New(errkind.RecordInvalid, "%w", err)
+	}
+	if expect <= 0 {
+		return 0, errkind.New(errkind.RecordInvalid, "a deletion needs the record's revision")
+	}
+	return s.amend(ctx, &change{kind: kind, name: name, expect: expect})
+}
+
+func (s *Sync) amend(ctx context.Context, c *change) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.o.ResolveWithin)
+	defer cancel()
+	c.base = max(c.expect, s.Revision())
+	if c.expect > 0 {
+		// Whoever changed the record first after expect is the winner.
+		c.base = c.expect
+	}
+	sent := false
+	for {
+		revision, err := s.send(ctx, c)
+		if err == nil {
+			s.count("amend.done")
+			return revision, nil
+		}
+		if errors.Is(err, store.ErrRefused) {
+			s.count("amend.refused")
+			return 0, refused(err, sent)
+		}
+		// A conflict before any answer was lost can only be somebody else's.
+		if errors.Is(err, store.ErrConflict) && !sent {
+			return 0, s.lost(err)
+		}
+		sent = true
+		outcome, revision, current := s.resolve(ctx, c)
+		switch outcome {
+		case tookEffect:
+			s.count("amend.recovered")
+			return revision, nil
+		case otherWon:
+			return 0, s.lost(&store.ConflictError{Current: store.KV{Key: c.key(), ModRevision: current}})
+		case unknown:
+			s.count("amend.unknown")
+			return 0, errkind.New(errkind.StoreUnavailable, "the outcome of the amendment is not known; read the record before amending it again: %w", err)
+		case noEffect: // send again
+		}
+	}
+}
+
+func (s *Sync) send(ctx context.Context, c *change) (int64, error) {
+	if c.value == nil {
+		return s.o.Store.Delete(ctx, c.key(), c.expect)
+	}
+	return s.o.Store.Put(ctx, c.key(), c.value, c.expect, 0)
+}
+
+// refused answers for a store that will not do the call as it stands. That
+// rules out an effect of this attempt, but not of one sent before it.
+func refused(err error, sent bool) *errkind.Error {
+	if sent {
+		return errkind.New(errkind.StoreUnavailable, "the outcome of the amendment is not known: %w", err)
+	}
+	return errkind.New(errkind.StoreUnavailable, "%w", err).WithRan(errkind.RanNo)
+}
+
+func (s *Sync) lost(err error) *errkind.Error {
+	s.count("amend.conflict")
+	conflict := new(ConflictError)
+	if c, ok := errors.AsType[*store.ConflictError](err); ok {
+		conflict.Current = c.Current.ModRevision
+	}
+	return errkind.New(errkind.RecordConflict, "%w", conflict)
+}
--- /dev/null
+++ b/internal/confsync/follow.go
@@ -0,0 +1,132 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"wigeontray/internal/record"
+	"wigeontray/internal/store"
+)
+
+// confirmAfter is the time that a change may be on its way through a watch.
+const confirmAfter = 250 * time.Millisecond
+
+var (
+	// errStale means that the store holds changes which the watch left out.
+	errStale = errors.New("the watch left out a change")
+	// errPast means that the store answered with a revision below the one in
+	// force.
+	errPast = errors.New("the store answered from the past")
+)
+
+// follow reads everything once and then watches, until something fails.
+func (s *Sync) follow(ctx context.Context) error {
+	revision, err := s.readAll(ctx)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	batches := make(chan store.Batch, batchQueue)
+	ended := make(chan error, 1)
+	go func() { ended <- s.o.Store.Watch(ctx, store.RecordPrefix, revision, batches) }()
+	verify := time.NewTimer(jitter(s.o.VerifyEvery))
+	defer verify.Stop()
+	suspect := false
+	for {
+		select {
+		case b, ok := <-batches:
+			if !ok {
+				return <-ended
+			}
+			s.apply(b)
+		case <-verify.C:
+			behind, err := s.verify(ctx)
+			if err != nil {
+				return err
+			}
+			if behind && suspect {
+				return errStale
+			}
+			suspect = behind
+			verify.Reset(s.nextVerify(suspect))
+		}
+	}
+}
+
+// nextVerify is short after a check that found the watch behind: the change may
+// just be on its way, and a second look tells.
+func (s *Sync) nextVerify(suspect bool) time.Duration {
+	if suspect {
+		return confirmAfter
+	}
+	return jitter(s.o.VerifyEvery)
+}
+
+// readAll reads all records and gives the revision from which to watch.
+func (s *Sync) readAll(ctx context.Context) (int64, error) {
+	kvs, revision, err := s.o.Store.Range(ctx, store.RecordPrefix)
+	if err != nil {
+		return 0, err
+	}
+	s.noteStore(true, nil)
+	raw := make([]record.Raw, 0, len(kvs))
+	for _, kv := range kvs {
+		raw = append(raw, record.Raw{Key: kv.Key, Value: kv.Value, ModRevision: kv.ModRevision})
+	}
+	before := s.Current()
+	if before != nil && revision < before.Revision {
+		// A replica that lags, or a store restored from a copy. To obey it would
+		// bring back what operators have replaced.
+		return 0, fmt.Errorf("%w: %d is below %d", errPast, revision, before.Revision)
+	}
+	if !before.Same(raw) {
+		// Equal content keeps its revision, so that reading again after a lost
+		// watch does not send the whole configuration to every guard.
+		s.install(record.Build(before, raw, revision))
+	}
+	return revision, nil
+}
+
+// apply puts a batch of the watch in force. A snapshot that came by Offer in
+// the meantime can be ahead of the watch; the batch is then in it already.
+func (s *Sync) apply(b store.Batch) {
+	before := s.Current()
+	if b.Revision <= before.Revision {
+		s.count("watch.old")
+		return
+	}
+	s.install(before.Apply(b))
+}
+
+// verify asks the store whether the watch left out a change. A watch can stay
+// open and silent: its server hangs, or a balancer holds the connection of a
+// server that has gone. The entry would then obey an old configuration with
+// nothing to show for it.
+func (s *Sync) verify(ctx context.Context) (behind bool, err error) {
+	latest, err := s.latest(ctx)
+	if err != nil {
+		return false, err
+	}
+	s.noteStore(true, nil)
+	snap := s.Current()
+	if latest.Revision < snap.Revision {
+		s.count("store.past")
+		return false, nil
+	}
+	return latest.ModRevision > snap.Revision || latest.Count != int64(snap.Len()), nil
+}
+
+func (s *Sync) latest(ctx context.Context) (store.Latest, error) {
+	if p, ok := s.o.Store.(prober); ok {
+		return p.Latest(ctx, store.RecordPrefix)
+	}
+	kvs, revision, err := s.o.Store.Range(ctx, store.RecordPrefix)
+	l := store.Latest{Count: int64(len(kvs)), Revision: revision}
+	for _, kv := range kvs {
+		l.ModRevision = max(l.ModRevision, kv.ModRevision)
+	}
+	return l, err
+}
--- /dev/null
+++ b/internal/record/decode.go
@@ -0,0 +1,127 @@
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ErrSchemaTooNew means that a record was written for a later version of the
+// software. The record accepted before it stays in force.
+var ErrSchemaTooNew = errors.New("schema is newer than this software understands")
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// Parsed is one accepted record; the field of its kind is set.
+type Parsed struct {
+	Kind    Kind
+	Name    string
+	Schema  int64
+	WriteID string
+
+	Member  *Member
+	Service *Service
+	Policy  *Policy
+	Job     *Job
+}
+
+// Parse reads and checks one record. The error joins one FieldError for each
+// problem found, or is ErrSchemaTooNew.
+func Parse(b []byte) (*Parsed, error) {
+	if len(b) > MaxSize {
+		return nil, &FieldError{Problem: fmt.Sprintf("%d bytes exceed %d", len(b), MaxSize)}
+	}
+	var errs []error
+	o := parseObject("", b, &errs)
+	p := &Parsed{Kind: Kind(o.text("kind", "")), Name: o.text("name", ""), WriteID: o.text("write_id", "")}
+	p.Schema = o.integer("schema", 0, 1, 1<<31)
+	if len(errs) > 0 {
+		return nil, errors.Join(errs...)
+	}
+	if err := CheckName(p.Kind, p.Name); err != nil {
+		return nil, &FieldError{Problem: err.Error()}
+	}
+	if err := checkSchema(p); err != nil {
+		return nil, err
+	}
+	p.read(o)
+	o.done()
+	if len(errs) > 0 {
+		return nil, errors.Join(errs...)
+	}
+	return p, nil
+}
+
+func checkSchema(p *Parsed) error {
+	newest := map[Kind]int64{
+		KindMember: memberSchema, KindService: serviceSchema, KindPolicy: policySchema, KindJob: jobSchema,
+	}[p.Kind]
+	if p.Schema == 0 {
+		return &FieldError{Path: "schema", Problem: "missing"}
+	}
+	if p.Schema > newest {
+		return fmt.Errorf("schema: %d is above %d: %w", p.Schema, newest, ErrSchemaTooNew)
+	}
+	return nil
+}
+
+func (p *Parsed) read(o *object) {
+	switch p.Kind {
+	case KindMember:
+		p.Member = readMember(o, p.Name)
+	case KindService:
+		p.Service = readService(o, p.Name, p.Schema)
+	case KindPolicy:
+		p.Policy = readPolicy(o, p.Name)
+	case KindJob:
+		p.Job = readJob(o, p.Name)
+	}
+}
+
+// ParseAs is Parse for a record that must have the given kind and name.
+func ParseAs(kind Kind, name string, b []byte) (*Parsed, error) {
+	p, err := Parse(b)
+	if err != nil {
+		return nil, err
+	}
+	if p.Kind != kind || p.Name != name {
+		return nil, &FieldError{Path: "name", Problem: fmt.Sprintf("%s %q stands in the place of %s %q", p.Kind, p.Name, kind, name)}
+	}
+	return p, nil
+}
+
+// WithWriteID gives the record b with its write identity set to id. A write
+// whose answer was lost is recognised by it on reading back. Numbers keep the
+// form in which they were written.
+func WithWriteID(b []byte, id string) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(b, &fields); err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	quoted, err := json.Marshal(id)
+	if err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	fields["write_id"] = quoted
+	out := new(bytes.Buffer)
+	enc := json.NewEncoder(out)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(fields); err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	return bytes.TrimSuffix(out.Bytes(), []byte("\n")), nil
+}
+
+// WriteID reads the write identity of a record of any schema; empty if it has
+// none.
+func WriteID(b []byte) string {
+	var r struct {
+		WriteID string `json:"write_id"`
+	}
+	if json.Unmarshal(b, &r) != nil {
+		return ""
+	}
+	return r.WriteID
+}
--- /dev/null
+++ b/internal/record/kinds.go
@@ -0,0 +1,178 @@
+package record
+
+import (
+	"encoding/hex"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"wigeontray/internal/dispatch"
+)
+
+// Schema versions that this build understands: 1 up to these.
+const (
+	memberSchema  = 1
+	serviceSchema = 2
+	policySchema  = 1
+	jobSchema     = 1
+)
+
+// Limits and defaults of fields.
+const (
+	MaxTasks          = 500 // tasks in a job
+	maxTokens         = 2   // a second one while tokens are changed over
+	maxTeams          = 1000
+	maxDeadlineMs     = 3_600_000
+	maxBodyBytes      = 4 << 20
+	defaultBodyBytes  = 1 << 20
+	defaultDeadlineMs = 10_000
+	millisPerSecond   = 1000
+	maxQuota          = 1e6
+	maxWeight         = 1000
+	maxQueued         = 1_000_000
+	maxGraceMs        = 60_000
+)
+
+// TokenHash is the SHA-256 of a caller's token. A plain hash is enough since
+// tokens are random and long; they are no passwords.
+type TokenHash [32]byte
+
+// Member is one member of the consortium.
+type Member struct {
+	Name string
+	// HomeRegion serves the member's requests; empty for any region.
+	HomeRegion string
+	// Tokens are the hashes of the tokens that are good now: two while one is
+	// being replaced by another.
+	Tokens []TokenHash
+	// Teams may be named in submissions.
+	Teams []string
+}
+
+// Service is one kind of request that a member's upstreams serve.
+type Service struct {
+	Name              string // "member/service"
+	Path              string // path at the upstream
+	DefaultDeadlineMs int64  // deadline of a submission that names none
+	MaxTasks          int
+	MaxBody           int64 // bytes of one task's body
+	// DeclaredMs is the declared run time of a task; 0 for none.
+	DeclaredMs int64
+}
+
+// Policy is how one service's work is admitted and placed.
+type Policy struct {
+	Name     string // the service's
+	Dispatch dispatch.Policy
+}
+
+// Job is a declared kind of job: limits tighter than its service's.
+type Job struct {
+	Name       string // "member/job"
+	Service    string // "member/service"
+	DeadlineMs int64
+	MaxTasks   int
+	DeclaredMs int64
+}
+
+var (
+	pathForm   = regexp.MustCompile(`^/[A-Za-z0-9._~/-]*$`)
+	regionForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	teamForm   = regionForm
+)
+
+func readMember(o *object, name string) *Member {
+	m := &Member{Name: name, HomeRegion: o.text("home_region", "")}
+	if m.HomeRegion != "" && !regionForm.MatchString(m.HomeRegion) {
+		o.fail("home_region", "%q is not a region's name", m.HomeRegion)
+	}
+	for i, text := range o.strings("token_sha256", maxTokens) {
+		h, ok := parseHash(text)
+		if !ok {
+			o.fail("token_sha256."+strconv.Itoa(i), "want 64 lower-case hexadecimal digits")
+		}
+		m.Tokens = append(m.Tokens, h)
+	}
+	m.Teams = o.strings("teams", maxTeams)
+	for i, team := range m.Teams {
+		if !teamForm.MatchString(team) {
+			o.fail("teams."+strconv.Itoa(i), "%q is not a team's name", team)
+		}
+	}
+	return m
+}
+
+func parseHash(text string) (h TokenHash, ok bool) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(h) || strings.ToLower(text) != text {
+		return h, false
+	}
+	return TokenHash(b), true
+}
+
+// readService reads both schemas. Schema 1 had the deadline as "deadline_ms",
+// the run time in seconds as "run_s", and no limit on bodies.
+func readService(o *object, name string, schema int64) *Service {
+	s := &Service{Name: name, Path: o.text("path", "/"), MaxBody: defaultBodyBytes}
+	s.MaxTasks = int(o.integer("max_tasks", MaxTasks, 1, MaxTasks))
+	if !pathForm.MatchString(s.Path) {
+		o.fail("path", "%q: want an absolute path without query", s.Path)
+	}
+	if schema == 1 {
+		s.DefaultDeadlineMs = o.integer("deadline_ms", defaultDeadlineMs, 1, maxDeadlineMs)
+		s.DeclaredMs = int64(o.number("run_s", 0, 0, maxDeadlineMs/millisPerSecond) * millisPerSecond)
+		return s
+	}
+	s.DefaultDeadlineMs = o.integer("default_deadline_ms", defaultDeadlineMs, 1, maxDeadlineMs)
+	s.DeclaredMs = o.integer("declared_ms", 0, 0, maxDeadlineMs)
+	s.MaxBody = o.integer("max_body", defaultBodyBytes, 1, maxBodyBytes)
+	return s
+}
+
+func readPolicy(o *object, name string) *Policy {
+	p := dispatch.DefaultPolicy()
+	if o.choice("weighting", "response", "response", "messages") == "messages" {
+		p.Weighting = dispatch.WeighMessages
+	}
+	p.MaxQueued = int(o.integer("max_queued", int64(p.MaxQueued), 0, maxQueued))
+	p.RetryRatio = o.number("retry_ratio", p.RetryRatio, 0, 1)
+	p.Grace = millis(o.integer("grace_ms", p.Grace.Milliseconds(), 0, maxGraceMs))
+	p.Teams = readQuotas(o.object("teams"))
+	return &Policy{Name: name, Dispatch: p}
+}
+
+func readQuotas(teams *object) map[string]dispatch.Quota {
+	names := teams.names()
+	if len(names) > maxTeams {
+		teams.fail("", "more than %d teams", maxTeams)
+		return nil
+	}
+	out := make(map[string]dispatch.Quota, len(names))
+	for _, name := range names {
+		if !teamForm.MatchString(name) {
+			teams.fail(name, "not a team's name")
+		}
+		q := teams.object(name)
+		out[name] = dispatch.Quota{
+			StartsPerSecond: q.number("starts_per_second", 0, 0, maxQuota),
+			Burst:           q.number("burst", 0, 0, maxQuota),
+			Weight:          q.number("weight", 1, 0, maxWeight),
+		}
+		q.done()
+	}
+	return out
+}
+
+func readJob(o *object, name string) *Job {
+	j := &Job{Name: name, Service: o.text("service", "")}
+	j.DeadlineMs = o.integer("deadline_ms", defaultDeadlineMs, 1, maxDeadlineMs)
+	j.MaxTasks = int(o.integer("max_tasks", MaxTasks, 1, MaxTasks))
+	j.DeclaredMs = o.integer("declared_ms", 0, 0, maxDeadlineMs)
+	if err := CheckName(KindService, j.Service); err != nil {
+		o.fail("service", "%q: want member/service", j.Service)
+	} else if Owner(j.Service) != Owner(name) {
+		// A job of one member on another's service would run a rival's work.
+		o.fail("service", "%q belongs to another member", j.Service)
+	}
+	return j
+}
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,91 @@
+// Package record owns the operators' records: their kinds, their schema
+// versions, the checks on them, and the immutable snapshot of all records that
+// a process obeys.
+//
+// A record is a JSON object. Every kind has the fields "kind", "name" and
+// "schema"; the store keeps it under RecordPrefix + kind + "/" + name. Records
+// of several schema versions are in force side by side: each is upgraded on
+// reading to the one form that the code uses.
+//
+// The package may import errkind, dispatch (for its Policy) and store (for the
+// names of keys), and does no input or output.
+package record
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+
+	"wigeontray/internal/store"
+)
+
+// Kind names a kind of record.
+type Kind string
+
+// The kinds of records.
+const (
+	KindMember  Kind = "member"
+	KindService Kind = "service"
+	KindPolicy  Kind = "policy"
+	KindJob     Kind = "job"
+)
+
+// Kinds lists all kinds.
+func Kinds() []Kind { return []Kind{KindMember, KindService, KindPolicy, KindJob} }
+
+// MaxSize bounds a record's JSON, in bytes. It is far below the megabyte that
+// the store takes, as every entry and guard holds all records.
+const MaxSize = 64 << 10
+
+const maxNameLen = 63
+
+var (
+	memberForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]*$`)
+	// fullForm is "member/name".
+	fullForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]*/[a-z0-9][a-z0-9-]*$`)
+)
+
+// CheckName tells what is wrong with the name of a record.
+func CheckName(kind Kind, name string) error {
+	form, want := fullForm, "member/name"
+	switch kind {
+	case KindMember:
+		form, want = memberForm, "a member's name"
+	case KindService, KindPolicy, KindJob:
+	default:
+		return fmt.Errorf("kind: %q is none of %v", kind, Kinds())
+	}
+	if !form.MatchString(name) {
+		return fmt.Errorf("name: %q: want %s in lower-case letters, digits and hyphens", name, want)
+	}
+	for part := range strings.SplitSeq(name, "/") {
+		if len(part) > maxNameLen {
+			return fmt.Errorf("name: %q: a part is longer than %d", name, maxNameLen)
+		}
+	}
+	return nil
+}
+
+// Key gives the store's key of a record.
+func Key(kind Kind, name string) string {
+	return store.RecordPrefix + string(kind) + "/" + name
+}
+
+// ParseKey takes a store's key apart.
+func ParseKey(key string) (Kind, string, error) {
+	rest, ok := strings.CutPrefix(key, store.RecordPrefix)
+	if !ok {
+		return "", "", fmt.Errorf("key %q: not a record", key)
+	}
+	kind, name, _ := strings.Cut(rest, "/")
+	if err := CheckName(Kind(kind), name); err != nil {
+		return "", "", fmt.Errorf("key %q: %w", key, err)
+	}
+	return Kind(kind), name, nil
+}
+
+// Owner gives the member that a record belongs to.
+func Owner(name string) string {
+	member, _, _ := strings.Cut(name, "/")
+	return member
+}
--- /dev/null
+++ b/internal/record/snapshot.go
@@ -0,0 +1,268 @@
+package record
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+
+	"wigeontray/internal/dispatch"
+	"wigeontray/internal/store"
+)
+
+// Raw is one record as the store holds it.
+type Raw struct {
+	Key         string `cbor:"1,keyasint"`
+	Value       []byte `cbor:"2,keyasint"`
+	ModRevision int64  `cbor:"3,keyasint"`
+}
+
+// Rejected is a record that is not in force as the store holds it.
+type Rejected struct {
+	Key         string
+	ModRevision int64
+	Reason      string
+	// TooNew means that its schema is above what this software understands.
+	TooNew bool
+	// InForce is the revision of the record that is obeyed in its place; 0 if
+	// there is none.
+	InForce int64
+}
+
+// Snapshot is the whole configuration at one revision of the store. It never
+// changes, and any goroutine may read it.
+type Snapshot struct {
+	// Revision is the store's revision up to which the snapshot is complete.
+	Revision int64
+
+	raw      map[string]Raw // as the store holds them
+	held     map[string]Raw // obeyed in place of a rejected one
+	rejected []Rejected
+
+	members  map[string]*Member
+	services map[string]*Service
+	policies map[string]*Policy
+	jobs     map[string]*Job
+	tokens   []token
+}
+
+// token is one good token of a member.
+type token struct {
+	hash   TokenHash
+	member *Member
+}
+
+// Build makes the snapshot of raw records at revision. Records that cannot be
+// read stay as they were in before, which may be nil: if a newer process
+// writes a schema that this one has never heard of, or a record is spoilt, the
+// service must go on under what was accepted last, and not under defaults.
+func Build(before *Snapshot, raw []Raw, revision int64) *Snapshot {
+	s := &Snapshot{
+		Revision: revision,
+		raw:      make(map[string]Raw, len(raw)), held: map[string]Raw{},
+		members: map[string]*Member{}, services: map[string]*Service{},
+		policies: map[string]*Policy{}, jobs: map[string]*Job{},
+	}
+	for _, r := range raw {
+		s.raw[r.Key] = r
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.raw)) {
+		s.add(before, s.raw[key])
+	}
+	s.indexTokens()
+	return s
+}
+
+func (s *Snapshot) add(before *Snapshot, r Raw) {
+	p, err := parseRaw(r)
+	if err == nil {
+		s.put(p)
+		return
+	}
+	rej := Rejected{Key: r.Key, ModRevision: r.ModRevision, Reason: err.Error(), TooNew: errors.Is(err, ErrSchemaTooNew)}
+	if old, ok := before.accepted(r.Key); ok {
+		if p, err := parseRaw(old); err == nil {
+			s.put(p)
+			s.held[r.Key] = old
+			rej.InForce = old.ModRevision
+		}
+	}
+	s.rejected = append(s.rejected, rej)
+}
+
+func parseRaw(r Raw) (*Parsed, error) {
+	kind, name, err := ParseKey(r.Key)
+	if err != nil {
+		return nil, err
+	}
+	return ParseAs(kind, name, r.Value)
+}
+
+// accepted gives the record that s obeys under key.
+func (s *Snapshot) accepted(key string) (Raw, bool) {
+	if s == nil {
+		return Raw{}, false
+	}
+	if r, ok := s.held[key]; ok {
+		return r, true
+	}
+	r, ok := s.raw[key]
+	return r, ok
+}
+
+func (s *Snapshot) put(p *Parsed) {
+	switch p.Kind {
+	case KindMember:
+		s.members[p.Name] = p.Member
+	case KindService:
+		s.services[p.Name] = p.Service
+	case KindPolicy:
+		s.policies[p.Name] = p.Policy
+	case KindJob:
+		s.jobs[p.Name] = p.Job
+	}
+}
+
+// indexTokens leaves out a hash that two members claim. Otherwise a member that
+// learned a rival's hash could copy it into its own record, and the rival's
+// callers would be served as the wrong member.
+func (s *Snapshot) indexTokens() {
+	owners := map[TokenHash]int{}
+	for _, m := range s.members {
+		for _, h := range m.Tokens {
+			owners[h]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.members)) {
+		m := s.members[name]
+		for _, h := range m.Tokens {
+			if owners[h] == 1 {
+				s.tokens = append(s.tokens, token{hash: h, member: m})
+			}
+		}
+	}
+}
+
+// HashToken gives what a member's record holds in place of a token.
+func HashToken(text string) TokenHash { return sha256.Sum256([]byte(text)) }
+
+// MemberByToken finds the member that a caller's token belongs to. It compares
+// with every hash, so that its time tells nothing of how close a guess was.
+func (s *Snapshot) MemberByToken(text string) (*Member, bool) {
+	h := HashToken(text)
+	found := -1
+	for i := range s.tokens {
+		equal := subtle.ConstantTimeCompare(h[:], s.tokens[i].hash[:])
+		found = subtle.ConstantTimeSelect(equal, i, found)
+	}
+	if found < 0 {
+		return nil, false
+	}
+	return s.tokens[found].member, true
+}
+
+// Member finds a member by name.
+func (s *Snapshot) Member(name string) (*Member, bool) {
+	m, ok := s.members[name]
+	return m, ok
+}
+
+// Service finds "member/service". A service whose member's record was deleted
+// is not in force; it comes back with the member.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	if _, ok := s.members[Owner(name)]; !ok {
+		return nil, false
+	}
+	v, ok := s.services[name]
+	return v, ok
+}
+
+// PolicyFor gives the policy of a service, or the default one. The caller fills
+// in Entries and Domain, which no record holds.
+func (s *Snapshot) PolicyFor(service string) dispatch.Policy {
+	if p, ok := s.policies[service]; ok {
+		return p.Dispatch
+	}
+	return dispatch.DefaultPolicy()
+}
+
+// Job finds "member/job". A job whose service is not in force is not either.
+func (s *Snapshot) Job(name string) (*Job, bool) {
+	j, ok := s.jobs[name]
+	if !ok {
+		return nil, false
+	}
+	_, ok = s.Service(j.Service)
+	return j, ok
+}
+
+// Services lists the names of the services in force, sorted.
+func (s *Snapshot) Services() []string {
+	var out []string
+	for name := range s.services {
+		if _, ok := s.Service(name); ok {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Members lists the names of all members, sorted.
+func (s *Snapshot) Members() []string { return slices.Sorted(maps.Keys(s.members)) }
+
+// Rejected lists the records that are not in force as the store holds them.
+func (s *Snapshot) Rejected() []Rejected { return slices.Clone(s.rejected) }
+
+// Raw gives a record as the store holds it, in force or not.
+func (s *Snapshot) Raw(kind Kind, name string) (Raw, bool) {
+	r, ok := s.raw[Key(kind, name)]
+	return r, ok
+}
+
+// List gives the records of one member as the store holds them, sorted by key.
+func (s *Snapshot) List(member string) []Raw {
+	return s.list(func(name string) bool { return Owner(name) == member })
+}
+
+func (s *Snapshot) list(want func(name string) bool) []Raw {
+	var out []Raw
+	for _, r := range s.raw {
+		if _, name, err := ParseKey(r.Key); err == nil && want(name) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b Raw) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// Len is the number of records that the store holds.
+func (s *Snapshot) Len() int { return len(s.raw) }
+
+// Apply gives the snapshot after a batch of changes.
+func (s *Snapshot) Apply(b store.Batch) *Snapshot {
+	raw := maps.Clone(s.raw)
+	for _, ev := range b.Events {
+		if ev.Deleted {
+			delete(raw, ev.Key)
+			continue
+		}
+		raw[ev.Key] = Raw{Key: ev.Key, Value: ev.Value, ModRevision: ev.ModRevision}
+	}
+	return Build(s, slices.Collect(maps.Values(raw)), b.Revision)
+}
+
+// Same tells whether the snapshot holds exactly these records.
+func (s *Snapshot) Same(raw []Raw) bool {
+	if s == nil || len(raw) != len(s.raw) {
+		return false
+	}
+	for _, r := range raw {
+		if s.raw[r.Key].ModRevision != r.ModRevision {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/settings/common.go
@@ -0,0 +1,174 @@
+// Package settings owns the INI files of both binaries: every key with its
+// unit, default and range in one table for each binary, from which files are
+// checked and the reference page is generated.
+//
+// It imports nothing of the project.
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+)
+
+// TLS names the certificates of a process. TLS is on when Cert and Key are set.
+type TLS struct {
+	Cert, Key string // paths of PEM files
+	// ClientCA is the path of the PEM file of the authority that the other
+	// processes' certificates come from.
+	ClientCA string
+	// AllowPlaintextBeyondLoopback permits addresses other than loopback
+	// without TLS.
+	AllowPlaintextBeyondLoopback bool
+}
+
+// Enabled tells whether TLS is on.
+func (t *TLS) Enabled() bool { return t.Cert != "" && t.Key != "" }
+
+// Server gives the configuration of a listener, nil without TLS. With mutual,
+// only clients with a certificate of ClientCA are let in.
+func (t *TLS) Server(mutual bool) (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, fmt.Errorf("[tls] cert, key: %w", err)
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}}
+	if mutual && t.ClientCA != "" {
+		if c.ClientCAs, err = t.pool(); err != nil {
+			return nil, err
+		}
+		c.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return c, nil
+}
+
+// Client gives the configuration of connections to other processes of the
+// system, nil without TLS.
+func (t *TLS) Client() (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, fmt.Errorf("[tls] cert, key: %w", err)
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}}
+	if t.ClientCA != "" {
+		c.RootCAs, err = t.pool()
+	}
+	return c, err
+}
+
+func (t *TLS) pool() (*x509.CertPool, error) {
+	pem, err := os.ReadFile(t.ClientCA)
+	if err != nil {
+		return nil, fmt.Errorf("[tls] client_ca: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("[tls] client_ca: no certificate in %s", t.ClientCA)
+	}
+	return pool, nil
+}
+
+// check refuses half a pair, and plaintext that leaves the machine: tokens and
+// bookings would cross the network in the clear, and nothing would show it.
+func (t *TLS) check(file string, addrs map[string][]string) error {
+	var errs []error
+	if (t.Cert == "") != (t.Key == "") {
+		errs = append(errs, &Error{File: file, Section: "tls", Key: "cert", Problem: "cert and key must be set together"})
+	}
+	if t.ClientCA != "" && !t.Enabled() {
+		errs = append(errs, &Error{File: file, Section: "tls", Key: "client_ca", Problem: "needs cert and key"})
+	}
+	if t.Enabled() || t.AllowPlaintextBeyondLoopback {
+		return errors.Join(errs...)
+	}
+	for place, list := range addrs {
+		section, key, _ := strings.Cut(place, ".")
+		for _, addr := range list {
+			if addr != "" && !isLoopback(addr) {
+				errs = append(errs, &Error{File: file, Section: section, Key: key, Problem: fmt.Sprintf(
+					"%s is beyond loopback: set [tls] cert and key, or allow_plaintext_beyond_loopback = true", addr)})
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Log says how lines are written.
+type Log struct {
+	Format string // "text" or "json"
+	Level  string // "debug", "info", "warn" or "error"
+}
+
+// Fleet holds what only processes of this system know.
+type Fleet struct {
+	// KeyFile is the path of the file that holds the shared key.
+	KeyFile string
+}
+
+// minKeyLen is the least length of the shared key, in bytes.
+const minKeyLen = 16
+
+// Key reads the shared key; empty without a KeyFile.
+func (f *Fleet) Key() (string, error) {
+	if f.KeyFile == "" {
+		return "", nil
+	}
+	b, err := os.ReadFile(f.KeyFile)
+	if err != nil {
+		return "", fmt.Errorf("[fleet] key_file: %w", err)
+	}
+	key := strings.TrimSpace(string(b))
+	if len(key) < minKeyLen {
+		return "", fmt.Errorf("[fleet] key_file: %s holds fewer than %d bytes", f.KeyFile, minKeyLen)
+	}
+	return key, nil
+}
+
+// Limits that both binaries have.
+const (
+	kib = 1 << 10
+	mib = 1 << 20
+)
+
+func tlsFields[T any](at func(*T) *TLS) []field[T] {
+	return []field[T]{
+		text("tls", "cert", "", "PEM file of this process's certificate. With `key` it turns TLS on for every address of this process.",
+			func(t *T) *string { return &at(t).Cert }),
+		text("tls", "key", "", "PEM file of the certificate's private key.",
+			func(t *T) *string { return &at(t).Key }),
+		text("tls", "client_ca", "", "PEM file of the authority of the other processes' certificates. With it only processes that it vouches for may open links.",
+			func(t *T) *string { return &at(t).ClientCA }),
+		flag("tls", "allow_plaintext_beyond_loopback", "Permits addresses other than loopback without TLS. Tokens and requests then cross the network in the clear.",
+			func(t *T) *bool { return &at(t).AllowPlaintextBeyondLoopback }),
+	}
+}
+
+func logFields[T any](at func(*T) *Log) []field[T] {
+	return []field[T]{
+		choice("log", "format", "text", "Form of log lines.", []string{"text", "json"},
+			func(t *T) *string { return &at(t).Format }),
+		choice("log", "level", "info", "Least level of the lines that are written.", []string{"debug", "info", "warn", "error"},
+			func(t *T) *string { return &at(t).Level }),
+	}
+}
+
+func fleetFields[T any](at func(*T) *Fleet) []field[T] {
+	return []field[T]{
+		text("fleet", "key_file", "", "File with the key that all processes of the system share; at least 16 bytes. A link whose key differs is refused.",
+			func(t *T) *string { return &at(t).KeyFile }),
+	}
+}
+
+func headerTimeout[T any](at func(*T) *time.Duration) field[T] {
+	return millis("limits", "header_timeout_ms", 5000, 100, 60_000, "Time in which a client must have sent its request's header.", at)
+}
