dispatch: admission by learned run times, quotas, retry budget, quarantine

Cause: at 200% load the slots were full and 18% of their time served anybody; one worker that failed all got 43% of the tasks.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -13,9 +13,13 @@
 	afterOverloaded = 500 * time.Millisecond
 )
 
+// leastAfter is the shortest time after which a caller is told to come back.
+const leastAfter = 50 * time.Millisecond
+
 // admit refuses what cannot be served, with a reason that is true for good.
 func (c *Core) admit(now time.Time, s *Spec) *errkind.Error {
 	n := len(s.Tasks)
+	fleet := sched.Sum(c.workers)
 	switch {
 	case n == 0:
 		return errkind.New(errkind.BadRequest, "a job without tasks")
@@ -25,12 +29,64 @@
 		return errkind.New(errkind.DeadlineExpired, "the deadline had passed on arrival")
 	case n > c.policy.MaxQueued:
 		return errkind.New(errkind.NeverFits, "%d tasks exceed the queue of %d", n, c.policy.MaxQueued)
-	case !c.anyUsable():
+	case fleet.Usable == 0:
 		return errkind.New(errkind.NoWorkers, "no worker of %s is connected", c.service).WithAfter(afterNoWorkers)
 	case c.queue.Len()+n > c.policy.MaxQueued:
-		return errkind.New(errkind.Overloaded, "%d tasks wait", c.queue.Len()).WithAfter(afterOverloaded)
+		return errkind.New(errkind.Overloaded, "%d tasks wait", c.queue.Len()).
+			WithRan(errkind.RanNo).WithAfter(afterOverloaded)
+	}
+	if err := c.inTime(now, s, &fleet); err != nil {
+		return err
+	}
+	return c.withinQuota(now, s.Team, n)
+}
+
+// inTime refuses a job that cannot finish before its deadline.
+func (c *Core) inTime(now time.Time, s *Spec, fleet *sched.Fleet) *errkind.Error {
+	waiting, share := c.queue.Flow(s.Team, c.policy.Teams[s.Team].Weight)
+	// A team below its share does not wait for the others' backlog.
+	waiting = min(c.queue.Len(), int(float64(waiting)/share))
+	d := sched.Demand{
+		Tasks: len(s.Tasks), Left: s.Deadline.Sub(now),
+		Declared: time.Duration(s.DeclaredMs) * time.Millisecond,
+	}
+	sup := sched.Supply{Free: fleet.Free, Waiting: waiting, Rate: c.rate.PerSecond, Runs: c.runs}
+	if sup.Rate == 0 {
+		sup.Rate = c.nominalRate(fleet)
+	}
+	ok, late := sched.Admit(&d, &sup)
+	if ok {
+		return nil
+	}
+	return errkind.New(errkind.CannotFinishInTime, "%d tasks wait; the job would end %v after its deadline",
+		c.queue.Len(), late.Round(time.Millisecond)).WithAfter(max(leastAfter, late))
+}
+
+// nominalRate is this entry's even part of what the fleet can start a second.
+func (c *Core) nominalRate(fleet *sched.Fleet) float64 {
+	if !c.runs.Known() {
+		return 0
+	}
+	return float64(fleet.Slots) / c.runs.Mean.Seconds() / float64(max(1, c.policy.Entries))
+}
+
+func (c *Core) withinQuota(now time.Time, team string, tasks int) *errkind.Error {
+	q := c.policy.Teams[team]
+	if q.StartsPerSecond <= 0 {
+		return nil
+	}
+	b := c.buckets[team]
+	if b == nil {
+		b = new(sched.Bucket)
+		c.buckets[team] = b
+	}
+	part := float64(max(1, c.policy.Entries))
+	ok, after := b.Take(now, float64(tasks), q.StartsPerSecond/part, q.Burst/part)
+	if ok {
+		return nil
 	}
-	return nil
+	return errkind.New(errkind.OverQuota, "team %q used up its %g starts a second", team, q.StartsPerSecond).
+		WithAfter(max(leastAfter, after))
 }
 
 func (c *Core) anyUsable() bool {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -25,12 +25,17 @@
 	domains numbering
 	racks   numbering
 
-	jobs    map[JobID]*job
-	flights map[wire.Ref]*flight
-	queue   sched.Queue[*task]
-	aside   []*task // tasks that no usable worker may take now
-	timers  timerHeap
-	polling bool // a poll timer is set
+	jobs     map[JobID]*job
+	flights  map[wire.Ref]*flight
+	queue    sched.Queue[*task]
+	aside    []*task // tasks that no usable worker may take now
+	timers   timerHeap
+	runs     *sched.RunTimes
+	rate     sched.Rate
+	budget   sched.Budget
+	buckets  map[string]*sched.Bucket
+	polling  bool // a poll timer is set
+	watching bool // a watch timer is set
 
 	actions, handed []Action
 }
@@ -46,6 +51,9 @@
 		places:  make(map[identity.Incarnation]int),
 		jobs:    make(map[JobID]*job),
 		flights: make(map[wire.Ref]*flight),
+		runs:    sched.NewRunTimes(),
+		budget:  sched.NewBudget(),
+		buckets: make(map[string]*sched.Bucket),
 	}
 }
 
@@ -114,7 +122,13 @@
 		c.poll(now)
 	case t.job != nil && t.job.tasks != nil && c.jobs[t.job.spec.ID] == t.job:
 		c.fail(now, t.job, failure{kind: errkind.DeadlineExpired, detail: "the deadline passed"})
-	case t.guard != nil:
+	case t.task != nil && t.task.job.tasks != nil:
+		c.retry(now, t.task)
+	case t.probe && c.guards[t.guard.place] == t.guard:
+		c.probe(t.guard)
+	case t.watch:
+		c.watch(now)
+	case t.guard != nil && !t.probe:
 		c.graceOver(now, t.guard, t.downs)
 	}
 }
@@ -132,7 +146,7 @@
 // slot or has offered one, and reserves slots for what is left.
 func (c *Core) pump(now time.Time) {
 	for c.queue.Len() > 0 && c.mayPlace() {
-		t, ok := c.next()
+		t, ok := c.next(now)
 		if !ok {
 			break
 		}
@@ -156,16 +170,23 @@
 	}
 }
 
-// next takes the next task that still waits.
-func (c *Core) next() (*task, bool) {
+// next takes the next task that still waits. A job whose time does not suffice
+// even for a quick run is answered at once: a start would only cost others a
+// slot.
+func (c *Core) next(now time.Time) (*task, bool) {
 	for {
 		t, ok := c.queue.Pop()
 		if !ok {
 			return nil, false
 		}
-		if t.state == waiting && t.job.tasks != nil {
-			return t, true
+		if t.state != waiting || t.job.tasks == nil {
+			continue // its job was answered while it waited
 		}
+		if c.runs.Known() && t.job.spec.Deadline.Sub(now) < c.runs.P10 {
+			c.fail(now, t.job, failure{kind: errkind.DeadlineExpired, detail: "no time is left to run the task"})
+			continue
+		}
+		return t, true
 	}
 }
 
@@ -209,6 +230,8 @@
 // workers would keep its queue waiting for good.
 func (c *Core) poll(now time.Time) {
 	c.polling = false
+	fleet := sched.Sum(c.workers)
+	c.rate.Look(now, c.queue.Len() > 0, c.nominalRate(&fleet))
 	for i, g := range c.guards {
 		if g != nil && now.Sub(g.heard) > staleLoad && c.workers[i].Others > 0 {
 			c.workers[i].Others--
@@ -234,6 +257,14 @@
 	start.Offered = offer
 	c.flights[start.Ref] = &flight{ref: start.Ref, task: t, guard: g, sent: now, queued: start.WaitMs > 0}
 	c.workers[at].Own++
+	c.rate.Started()
+	if len(t.refused) == 0 {
+		c.budget.First(c.policy.RetryRatio)
+	}
+	if !c.watching {
+		c.watching = true
+		c.timers.add(now.Add(watchEvery), timer{watch: true})
+	}
 	c.act(Action{Guard: g.incarnation, Start: start})
 }
 
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -25,6 +25,10 @@
 	downs       int    // link losses; tells a stale grace timer from a due one
 	seq         uint64 // of the newest load report
 	heard       time.Time
+	health      sched.Health
+	sick        bool      // quarantined
+	silent      bool      // has not answered for long
+	owes        bool      // used by watch: a task is overdue
 	want        int       // offers that it still owes
 	reserved    time.Time // when it was last asked for offers
 	declined    bool      // its offer was of no use to the tasks that wait
@@ -188,6 +192,10 @@
 // takeLoad notes a guard's report unless a newer one came first: a late one
 // would show slots as free that have been taken since.
 func (c *Core) takeLoad(now time.Time, g *guard, l *wire.Load) {
+	if g.silent {
+		g.silent = false
+		c.setState(g)
+	}
 	if l.Seq != 0 && l.Seq <= g.seq {
 		return
 	}
@@ -205,8 +213,15 @@
 
 func (c *Core) setState(g *guard) {
 	w := &c.workers[g.place]
-	if w.State = sched.Usable; g.leaving || !g.up {
+	switch {
+	case g.leaving || !g.up:
 		w.State = sched.Leaving
+	case g.sick:
+		w.State = sched.Quarantined
+	case g.silent:
+		w.State = sched.Silent
+	default:
+		w.State = sched.Usable
 	}
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -19,12 +19,13 @@
 
 // task is one task of an unfinished job.
 type task struct {
-	job     *job
-	index   int
-	state   taskState
-	due     int64   // order in its team's queue
-	refused []int32 // places of guards that gave their final word
-	result  TaskResult
+	job      *job
+	index    int
+	state    taskState
+	due      int64   // order in its team's queue
+	refused  []int32 // places of guards that gave their final word
+	result   TaskResult
+	backoffs int // waits for the retry budget
 }
 
 func (t *task) ref() wire.Ref {
--- a/internal/dispatch/offer.go
+++ b/internal/dispatch/offer.go
@@ -31,7 +31,7 @@
 	}
 	c.setWant(g, g.want-1)
 	c.takeLoad(now, g, &o.Load)
-	if t, ok := c.nextFor(int32(g.place)); ok {
+	if t, ok := c.nextFor(now, int32(g.place)); ok {
 		c.send(now, t, g.place, o.ID)
 	} else {
 		c.decline(g)
@@ -48,9 +48,9 @@
 }
 
 // nextFor takes the next task that the worker at a place has not refused.
-func (c *Core) nextFor(place int32) (*task, bool) {
+func (c *Core) nextFor(now time.Time, place int32) (*task, bool) {
 	for {
-		t, ok := c.next()
+		t, ok := c.next(now)
 		if !ok {
 			return nil, false
 		}
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -5,6 +5,7 @@
 
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
 	"wigeontray/internal/wire"
 )
 
@@ -29,6 +30,7 @@
 
 // settle applies a guard's word to the task of a landed flight.
 func (c *Core) settle(now time.Time, f *flight, r *wire.Result) {
+	c.noteHealth(now, f, r)
 	t := f.task
 	if t == nil || t.job.tasks == nil {
 		return // the job was answered meanwhile
@@ -37,12 +39,7 @@
 	case r.Kind == errkind.None:
 		c.complete(t, r)
 	case r.Ran == errkind.RanNo && retryable(r.Kind):
-		t.refused = append(t.refused, int32(f.guard.place))
-		if w := &c.workers[f.guard.place]; r.Kind == errkind.Busy {
-			// Its free slots, if it reports any, are held for offers.
-			w.Others = max(w.Others, w.Slots-w.Own)
-		}
-		c.retry(now, t, r)
+		c.refused(now, t, f.guard, r)
 	default:
 		c.fail(now, t.job, failure{known: true, task: t.index, kind: r.Kind, ran: r.Ran, detail: r.Detail})
 	}
@@ -58,16 +55,37 @@
 	}
 }
 
-// retry puts a task back that its guard has finally refused to start. With no
+// refused puts a task back that its guard has finally refused to start. With no
 // guard left that may still take it, the job is answered at once: waiting for
 // the deadline would hold back an answer that is known.
-func (c *Core) retry(now time.Time, t *task, r *wire.Result) {
+func (c *Core) refused(now time.Time, t *task, g *guard, r *wire.Result) {
+	t.state = waiting
+	t.refused = append(t.refused, int32(g.place))
+	if w := &c.workers[g.place]; r.Kind == errkind.Busy {
+		// Its free slots, if it reports any, are held for offers.
+		w.Others = max(w.Others, w.Slots-w.Own)
+	}
 	if len(t.refused) >= len(c.places) {
 		c.fail(now, t.job, failure{known: true, task: t.index, kind: errkind.NotRun,
 			ran: errkind.RanNo, detail: "every guard refused the task, the last one with " + r.Kind.String()})
 		return
 	}
-	c.enqueue(t)
+	if r.Kind == errkind.Busy && c.reserves() {
+		c.enqueue(t) // goes out on an offer, which is not refused again
+		return
+	}
+	c.retry(now, t)
+}
+
+// retry sends a refused task again if the budget allows it, or sets a moment to
+// ask again.
+func (c *Core) retry(now time.Time, t *task) {
+	if c.budget.Take() {
+		c.enqueue(t)
+		return
+	}
+	t.backoffs++
+	c.timers.add(now.Add(sched.Backoff(t.backoffs, c.rng)), timer{task: t})
 }
 
 // retryable tells whether another guard may answer otherwise. The kinds left
--- a/internal/dispatch/timer.go
+++ b/internal/dispatch/timer.go
@@ -5,15 +5,18 @@
 	"time"
 )
 
-// timer is something that falls due: a job's deadline, a guard's grace or a
-// look at old load reports.
+// timer is something that falls due: a job's deadline, a guard's grace or
+// probe, a task's retry, or a look at old reports or silent guards.
 type timer struct {
 	when  time.Time
 	seq   uint64 // keeps equal moments in order
 	job   *job
 	guard *guard
 	downs int
+	probe bool
+	task  *task
 	poll  bool
+	watch bool
 }
 
 type timerHeap struct {
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -26,20 +26,31 @@
 // meets a shorter queue. An estimate errs towards admitting while nothing is
 // known.
 func Admit(d *Demand, s *Supply) (ok bool, late time.Duration) {
-	longest := s.Runs.Longest(d.Tasks)
-	if !s.Runs.Known() {
-		longest = d.Declared / declaredMargin
+	wait := Wait(s.Waiting+d.Tasks-s.Free, s.Rate)
+	need := wait
+	switch {
+	case !s.Runs.Known():
+		need += d.Declared / declaredMargin
+	case wait == 0:
+		need += s.Runs.P10 // it starts at once; refuse only what hardly can end
+	default:
+		// The queue lets small jobs past the tail of a big one.
+		need += s.Runs.Longest(d.Tasks) + time.Duration(d.Tasks-1)*Spacing(d.Left, d.Tasks)
 	}
-	need := longest + Wait(s.Waiting+d.Tasks-s.Free, s.Rate)
 	return need <= d.Left, need - d.Left
 }
 
+// waitMargin is added to the estimate of a wait. Without it, half of the
+// estimates are too short, and at twice the capacity a twentieth of the slots'
+// time goes to jobs that miss their deadline with most of their tasks done.
+const waitMargin = 1.2
+
 // Wait is how long a queue of so many tasks takes to be started.
 func Wait(tasks int, rate float64) time.Duration {
 	if tasks <= 0 || rate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tasks) / rate * float64(time.Second))
+	return time.Duration(waitMargin * float64(tasks) / rate * float64(time.Second))
 }
 
 // rateMemory is the time constant over which Rate forgets.
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -11,7 +11,8 @@
 	slowSample   = 12 // newest runs that are looked at for slowness
 	slowMost     = 8  // of them, runs beyond the fleet's 90th percentile
 	firstPenalty = time.Second
-	mostPenalty  = 30 * time.Second
+	mostPenalty  = 16 * time.Second
+	slowProbes   = 3 // slow runs that end a probation
 )
 
 // Health is one entry's record of one worker.
@@ -25,7 +26,7 @@
 	runs       uint16 // newest runs: 1 where beyond the fleet's 90th percentile
 	seen       int    // runs in it
 	penalty    time.Duration
-	until      time.Time // end of the quarantine; zero when not in one
+	probing    bool // it comes back from a quarantine
 }
 
 // Failed notes a task that failed on the worker. Several tasks of one job count
@@ -51,41 +52,33 @@
 // Sick tells whether the worker should get no more tasks for now.
 func (h *Health) Sick() bool {
 	slow := bits.OnesCount16(h.runs & (1<<slowSample - 1))
+	if h.probing && slow >= slowProbes {
+		return true
+	}
 	return h.failed >= failedJobs || h.seen >= slowSample && slow >= slowMost
 }
 
-// Quarantine shuts the worker out. Each time in a row it lasts twice as long.
-func (h *Health) Quarantine(now time.Time) {
+// Quarantine shuts the worker out and tells until when. Each time in a row it
+// lasts twice as long. The first failure after it counts like the last one
+// before it, so that a probe of a worker that still fails costs one task.
+func (h *Health) Quarantine(now time.Time) (until time.Time) {
 	h.penalty = min(mostPenalty, max(firstPenalty, 2*h.penalty))
-	h.until = now.Add(h.penalty)
 	h.failed, h.lastFailed, h.runs, h.seen = failedJobs-1, "", 0, 0
+	h.probing = true
+	return now.Add(h.penalty)
 }
 
-// Due tells whether a quarantined worker may be probed.
-func (h *Health) Due(now time.Time) bool { return !h.until.IsZero() && !now.Before(h.until) }
-
-// Until is the end of the quarantine.
-func (h *Health) Until() time.Time { return h.until }
-
-// Recover ends the quarantine after good probes.
-func (h *Health) Recover() { h.until, h.failed, h.lastFailed = time.Time{}, 0, "" }
-
-// Forgive forgets the length of earlier quarantines.
-func (h *Health) Forgive() { h.penalty = 0 }
-
-// MayQuarantine keeps a floor: at least half of the workers that are up stay in
-// use. A fault of the whole fleet, such as a bad release of the upstream, looks
-// like every worker being sick; without the floor the pool would be emptied, and
-// the service would stay down after the fault had passed.
-func MayQuarantine(ws []Worker) bool {
-	usable, quarantined := 0, 0
-	for i := range ws {
-		switch ws[i].State {
-		case Usable:
-			usable++
-		case Quarantined:
-			quarantined++
-		}
+// Probed notes a good run on a worker that comes back and gives its new limit
+// of tasks, which doubles up to its slots; 0 when it is wholly back. A slow run
+// leaves the limit.
+func (h *Health) Probed(limit, slots int32, slow bool) int32 {
+	if slow {
+		return limit
+	}
+	if limit *= 2; limit < slots {
+		return limit
 	}
-	return usable-1 >= (usable+quarantined+1)/2
+	h.probing = false
+	h.penalty /= 2
+	return 0
 }
