--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -65,14 +65,14 @@
 		fmt.Fprintf(stderr, "wigeontray: %v\n", err)
 		return ExitUsage
 	}
-	return exitCode(stderr, k.Run(&env{ctx: ctx, stdout: stdout, stderr: stderr}))
+	return exitCode("wigeontray", stderr, k.Run(&env{ctx: ctx, stdout: stdout, stderr: stderr}))
 }
 
-func exitCode(stderr io.Writer, err error) int {
+func exitCode(name string, stderr io.Writer, err error) int {
 	if err == nil {
 		return ExitOK
 	}
-	fmt.Fprintf(stderr, "wigeontray: %v\n", err)
+	fmt.Fprintf(stderr, "%s: %v\n", name, err)
 	switch {
 	case errors.Is(err, errUsage):
 		return ExitUsage
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -216,11 +216,24 @@
 }
 
 func (f *fleet) guard(name, upstream string) *process {
-	args := []string{"--service", "ayni/reserva", "--upstream", upstream, "--worker", name, "--domain", "callao-a", "--region", "lima"}
+	var entries []string
 	for _, e := range f.entries {
-		args = append(args, "--entry", e.inner)
+		entries = append(entries, e.inner)
 	}
-	p := f.start("wigeontray-guard", args...)
+	ini := fmt.Sprintf(`[node]
+worker = %s
+failure_domain = callao-a
+region = lima
+[entries]
+addresses = %s
+[upstream]
+url = %s
+path = /
+service = ayni/reserva
+[listen]
+admin = 127.0.0.1:0
+`, name, strings.Join(entries, ","), upstream)
+	p := f.start("wigeontray-guard", "--config", f.file(name+".ini", ini))
 	for id, e := range f.entries {
 		f.eventually("guard "+name+" is used by "+id, func() bool { return strings.Contains(f.get(e, "/v1/status"), `"`+name+`-`) })
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -68,7 +68,7 @@
 		return nil, fmt.Errorf("fleet key: %w", err)
 	}
 	e := &Entry{set: set, log: logger, metrics: telemetry.New(), fenced: make(chan struct{})}
-	registry := metrics.NewRegistry()
+	registry := e.metrics.GoMetrics()
 	kv := store.NewEtcd(store.Options{
 		Endpoints: set.Store.Endpoints, Timeout: set.Store.Timeout,
 		CallsPerSecond: float64(set.Store.CallsPerSecond), Registry: registry, Transport: transport,
