--- /dev/null
+++ b/bench/process_test.go
@@ -0,0 +1,157 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// process is a started binary. Its log is shown when the benchmark fails.
+type process struct {
+	cmd *exec.Cmd
+	log bytes.Buffer
+}
+
+// build compiles both binaries into a folder that goes with the benchmark.
+func build(b *testing.B) string {
+	b.Helper()
+	dir := b.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir, "../cmd/wigeontray", "../cmd/wigeontray-guard").CombinedOutput()
+	if err != nil {
+		b.Fatalf("build: %v\n%s", err, out)
+	}
+	return dir
+}
+
+// start runs a binary until the end of the benchmark.
+func start(b *testing.B, path string, args ...string) *process {
+	b.Helper()
+	p := &process{cmd: exec.Command(path, args...)}
+	p.cmd.Stderr = &p.log
+	if err := p.cmd.Start(); err != nil {
+		b.Fatalf("start %s: %v", path, err)
+	}
+	b.Cleanup(func() { p.stop(b) })
+	return p
+}
+
+func (p *process) stop(b *testing.B) {
+	const patience = 20 * time.Second
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	kill := time.AfterFunc(patience, func() { _ = p.cmd.Process.Kill() })
+	defer kill.Stop()
+	if err := p.cmd.Wait(); err != nil {
+		b.Errorf("%s: %v", filepath.Base(p.cmd.Path), err)
+	}
+	if b.Failed() {
+		b.Logf("%s:\n%s", filepath.Base(p.cmd.Path), p.log.String())
+	}
+}
+
+// cpu is the processor time of all threads so far.
+func (p *process) cpu(b *testing.B) time.Duration {
+	b.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		b.Fatalf("no threads of process %d: %v", p.cmd.Process.Pid, err)
+	}
+	var sum int64
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			continue // the thread has ended
+		}
+		ns, err := strconv.ParseInt(strings.Fields(string(text))[0], 10, 64)
+		if err != nil {
+			b.Fatal(err)
+		}
+		sum += ns
+	}
+	return time.Duration(sum)
+}
+
+// resident is the resident memory in bytes.
+func (p *process) resident(b *testing.B) float64 {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	pages, err := strconv.ParseInt(strings.Fields(string(text))[1], 10, 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(pages) * float64(os.Getpagesize())
+}
+
+// freeAddr finds a loopback address that nobody listens on now.
+func freeAddr(b *testing.B) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// awaitFigure polls an exposition until a figure has the value.
+func awaitFigure(b *testing.B, admin, name string, want float64) {
+	b.Helper()
+	const (
+		patience = 15 * time.Second
+		every    = 20 * time.Millisecond
+	)
+	var got float64
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(every) {
+		if v, err := figure(admin, name); err == nil {
+			if got = v; got == want {
+				return
+			}
+		}
+	}
+	b.Fatalf("%s of %s is %v, want %v", name, admin, got, want)
+}
+
+func figure(admin, name string) (float64, error) {
+	resp, err := http.Get("http://" + admin + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			return strconv.ParseFloat(value, 64)
+		}
+	}
+	return 0, fmt.Errorf("no figure %s", name)
+}
+
+// post sends a body and reads the whole answer.
+func post(client *http.Client, req *http.Request) error {
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", resp.Status, body)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/site_test.go
@@ -0,0 +1,148 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"wigeontray/internal/capacity"
+	"wigeontray/internal/record"
+	"wigeontray/internal/store"
+	"wigeontray/internal/store/standin"
+	"wigeontray/internal/tlsconf"
+)
+
+// Names used by every benchmark.
+const (
+	member  = "bench"
+	service = "echo"
+)
+
+// site is a store in this process, an entry and the addresses of both.
+type site struct {
+	dir                   string
+	store                 string // base URL
+	callers, inner, admin string
+	token                 string
+	entry                 *process
+	bin                   string
+}
+
+// newSite starts an entry with one member and one service.
+func newSite(b *testing.B) *site {
+	b.Helper()
+	kv := standin.New()
+	server := httptest.NewServer(kv)
+	b.Cleanup(func() { kv.Close(); server.Close() })
+	token, err := tlsconf.NewToken()
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &site{
+		dir: b.TempDir(), bin: build(b), store: server.URL, token: token.Secret,
+		callers: freeAddr(b), inner: freeAddr(b), admin: freeAddr(b),
+	}
+	s.putRecords(b, token.Hash)
+	s.entry = start(b, filepath.Join(s.bin, "wigeontray"), "serve", s.write(b, "entry.ini", s.entrySettings()))
+	awaitFigure(b, s.admin, "wigeontray_ready", 1)
+	return s
+}
+
+func (s *site) putRecords(b *testing.B, hash string) {
+	b.Helper()
+	kv := store.NewEtcd(store.Options{Endpoints: []string{s.store}, Timeout: time.Second})
+	put := func(kind record.Kind, name, value string) {
+		if _, err := kv.Put(context.Background(), record.Key(kind, name), []byte(value), 0, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+	put(record.KindMember, member, fmt.Sprintf(`{"kind":"member","name":%q,"schema":1,"token_sha256":[%q]}`, member, hash))
+	name := member + "/" + service
+	put(record.KindService, name, fmt.Sprintf(`{"kind":"service","name":%q,"schema":2}`, name))
+}
+
+func (s *site) write(b *testing.B, name, text string) string {
+	b.Helper()
+	file := filepath.Join(s.dir, name)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	return file
+}
+
+func (s *site) entrySettings() string {
+	return fmt.Sprintf(`[node]
+name = entry-1
+region = bench
+failure_domain = a
+[listen]
+callers = %s
+inner = %s
+admin = %s
+[store]
+endpoints = %s
+`, s.callers, s.inner, s.admin, s.store)
+}
+
+// guard starts a guard beside the upstream and waits until the entry has it.
+func (s *site) guard(b *testing.B, upstream string) (p *process, admin string) {
+	b.Helper()
+	admin = freeAddr(b)
+	settings := fmt.Sprintf(`[node]
+worker = worker-1
+rack = rack-1
+failure_domain = a
+region = bench
+[entries]
+addresses = %s
+[upstream]
+url = %s
+service = %s/%s
+[listen]
+admin = %s
+`, s.inner, upstream, member, service, admin)
+	p = start(b, filepath.Join(s.bin, "wigeontray-guard"), s.write(b, "guard.ini", settings))
+	awaitFigure(b, s.admin, "wigeontray_guards", 1)
+	return p, admin
+}
+
+// target is the site for package capacity.
+func (s *site) target() capacity.Target {
+	return capacity.Target{
+		Inner: s.inner, Callers: "http://" + s.callers, Admin: "http://" + s.admin,
+		Token: s.token, Member: member, Service: service,
+	}
+}
+
+// job is a request that submits one task.
+func (s *site) job(b *testing.B, task string) *http.Request {
+	b.Helper()
+	body := fmt.Sprintf(`{"service":%q,"tasks":[%s]}`, service, task)
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.callers+"/v1/jobs", bytes.NewReader([]byte(body)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+s.token)
+	req.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
+	return req
+}
+
+// echo is an upstream that answers each task with its body.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/pages/source_test.go
@@ -0,0 +1,144 @@
+package pages
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"maps"
+	"net/http"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// parseDir parses the files of a package that are no tests.
+func parseDir(c *qt.C, dir string) []*ast.File {
+	names, err := filepath.Glob(filepath.Join(root, dir, "*.go"))
+	c.Assert(err, qt.IsNil)
+	var files []*ast.File
+	for _, name := range names {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.SkipObjectResolution)
+		c.Assert(err, qt.IsNil)
+		files = append(files, f)
+	}
+	c.Assert(files, qt.Not(qt.HasLen), 0, qt.Commentf("no code in %s", dir))
+	return files
+}
+
+// answering are the packages that write HTTP answers.
+var answering = []string{"internal/errkind", "internal/entry", "internal/guard"}
+
+// statusNames gives the constants of net/http by name.
+func statusNames() map[string]int {
+	out := make(map[string]int)
+	for s := 100; s < 600; s++ {
+		if text := http.StatusText(s); text != "" {
+			out["Status"+strings.NewReplacer(" ", "", "-", "", "'", "").Replace(text)] = s
+		}
+	}
+	return out
+}
+
+func TestHTTPStatuses(t *testing.T) {
+	c := qt.New(t)
+	names := statusNames()
+	found := make(map[string]bool)
+	for _, dir := range answering {
+		for _, f := range parseDir(c, dir) {
+			ast.Inspect(f, func(n ast.Node) bool {
+				if s, ok := n.(*ast.SelectorExpr); ok && strings.HasPrefix(s.Sel.Name, "Status") && isName(s.X, "http") {
+					found[strconv.Itoa(names[s.Sel.Name])] = names[s.Sel.Name] != 0
+				}
+				return true
+			})
+		}
+	}
+	delete(found, "0") // http.StatusText and the like
+	checkNames(c, "docs/http.md", "statuses", slices.Collect(maps.Keys(found)))
+}
+
+func isName(x ast.Expr, name string) bool {
+	id, ok := x.(*ast.Ident)
+	return ok && id.Name == name
+}
+
+var pattern = regexp.MustCompile(`^(GET|POST|PUT|DELETE|PATCH) /`)
+
+func TestEndpoints(t *testing.T) {
+	c := qt.New(t)
+	found := make(map[string]bool)
+	for _, dir := range answering {
+		for _, f := range parseDir(c, dir) {
+			ast.Inspect(f, func(n ast.Node) bool {
+				if l, ok := n.(*ast.BasicLit); ok && l.Kind == token.STRING {
+					if s, err := strconv.Unquote(l.Value); err == nil && pattern.MatchString(s) {
+						found[s] = true
+					}
+				}
+				return true
+			})
+		}
+	}
+	checkNames(c, "docs/http.md", "endpoints", slices.Collect(maps.Keys(found)))
+}
+
+// command is one command of the binary wigeontray.
+type command struct{ name, help string }
+
+// commands reads the tags that kong builds the command line from.
+func commands(c *qt.C) []command {
+	structs := make(map[string]*ast.StructType)
+	for _, f := range parseDir(c, "internal/cli") {
+		ast.Inspect(f, func(n ast.Node) bool {
+			if ts, ok := n.(*ast.TypeSpec); ok {
+				if st, ok := ts.Type.(*ast.StructType); ok {
+					structs[ts.Name.Name] = st
+				}
+			}
+			return true
+		})
+	}
+	c.Assert(structs["commands"], qt.IsNotNil)
+	return subcommands(structs, structs["commands"], "")
+}
+
+func subcommands(structs map[string]*ast.StructType, st *ast.StructType, prefix string) []command {
+	var out []command
+	for _, f := range st.Fields.List {
+		if f.Tag == nil || len(f.Names) == 0 {
+			continue
+		}
+		text, err := strconv.Unquote(f.Tag.Value)
+		tag := reflect.StructTag(text)
+		if _, ok := tag.Lookup("cmd"); err != nil || !ok {
+			continue
+		}
+		name := prefix + strings.ToLower(f.Names[0].Name)
+		if id, ok := f.Type.(*ast.Ident); ok && structs[id.Name] != nil {
+			if subs := subcommands(structs, structs[id.Name], name+" "); len(subs) > 0 {
+				out = append(out, subs...)
+				continue
+			}
+		}
+		out = append(out, command{name, tag.Get("help")})
+	}
+	return out
+}
+
+func TestCommands(t *testing.T) {
+	c := qt.New(t)
+	var rows [][]string
+	for _, cmd := range commands(c) {
+		rows = append(rows, []string{code("wigeontray " + cmd.name), cmd.help})
+	}
+	checkTable(c, "docs/operators.md", "commands", render([]string{"command", "what it does"}, rows))
+}
--- /dev/null
+++ b/internal/pages/tree_test.go
@@ -0,0 +1,175 @@
+package pages
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// tree lists the text files of the repository by their paths below root.
+func tree(c *qt.C) []string {
+	var out []string
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && (d.Name() == ".git" || d.Name() == "bin") {
+			return filepath.SkipDir
+		}
+		if d.Type().IsRegular() && d.Name() != ".git" {
+			rel, err := filepath.Rel(root, path)
+			out = append(out, rel)
+			return err
+		}
+		return nil
+	})
+	c.Assert(err, qt.IsNil)
+	return out
+}
+
+// A path of the machine on which something was written means nothing on
+// another; a newcomer who follows it finds nothing.
+func TestNoMachinePaths(t *testing.T) {
+	c := qt.New(t)
+	machine := regexp.MustCompile(`(^|[\s"'(=` + "`" + `])/(work|root|Users|home/\w+)/`)
+	for _, name := range tree(c) {
+		for i, line := range strings.Split(readPage(c, name), "\n") {
+			c.Check(machine.MatchString(line), qt.IsFalse, qt.Commentf("%s:%d: %s", name, i+1, line))
+		}
+	}
+}
+
+// Lengths at which a Go file is worth a look, and at which it must be split.
+const (
+	longFile    = 400
+	tooLongFile = 500
+)
+
+func TestLongFiles(t *testing.T) {
+	c := qt.New(t)
+	for _, name := range tree(c) {
+		if filepath.Ext(name) != ".go" {
+			continue
+		}
+		n := strings.Count(readPage(c, name), "\n")
+		c.Check(n <= tooLongFile, qt.IsTrue, qt.Commentf("%s has %d lines", name, n))
+		if n > longFile {
+			c.Logf("look at %s: %d lines", name, n)
+		}
+	}
+}
+
+// pageFiles lists the Markdown pages.
+func pageFiles(c *qt.C) []string {
+	return slices.DeleteFunc(tree(c), func(name string) bool { return filepath.Ext(name) != ".md" })
+}
+
+// Marks that must stand on the line before a table of docs/CAPACITY.md, and may
+// stand before tables of other pages. Measured figures name the command that
+// gave them on a line below the table.
+const (
+	measuredMark = "<!-- measured -->"
+	derivedMark  = "<!-- worked out -->"
+	plainMark    = "<!-- no figures -->"
+	commandLine  = "Command: `"
+)
+
+func TestMeasuredTablesNameTheirCommand(t *testing.T) {
+	c := qt.New(t)
+	for _, page := range pageFiles(c) {
+		lines := strings.Split(readPage(c, page), "\n")
+		for i, line := range lines {
+			if line == measuredMark {
+				c.Check(commandBelow(lines[i+1:]), qt.IsTrue, qt.Commentf("%s:%d: no %q below the table", page, i+1, commandLine))
+			}
+		}
+	}
+}
+
+// commandBelow looks for the command between a table and the next heading.
+func commandBelow(lines []string) bool {
+	for _, line := range lines {
+		if strings.HasPrefix(line, "#") {
+			return false
+		}
+		if strings.HasPrefix(line, commandLine) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestEveryCapacityTableSaysWhatItIs(t *testing.T) {
+	c := qt.New(t)
+	lines := strings.Split(readPage(c, "docs/CAPACITY.md"), "\n")
+	marks := []string{measuredMark, derivedMark, plainMark}
+	for i, line := range lines {
+		if strings.HasPrefix(line, "|") && (i == 0 || !strings.HasPrefix(lines[i-1], "|")) {
+			c.Check(i > 0 && slices.Contains(marks, lines[i-1]), qt.IsTrue, qt.Commentf("docs/CAPACITY.md:%d: %s", i+1, line))
+		}
+	}
+}
+
+// shellCommands lists the lines of a page's sh blocks, without comments and
+// continuation lines.
+func shellCommands(page string) []string {
+	var out []string
+	inside, continued := false, false
+	for _, line := range strings.Split(page, "\n") {
+		trimmed := strings.TrimSpace(line)
+		switch {
+		case strings.HasPrefix(trimmed, "```"):
+			inside = trimmed == "```sh"
+		case inside && !continued && trimmed != "" && !strings.HasPrefix(trimmed, "#"):
+			out = append(out, trimmed)
+		}
+		continued = strings.HasSuffix(trimmed, `\`)
+	}
+	return out
+}
+
+// tools are programs that a page may use and the tree does not hold.
+var tools = []string{"bash", "cd", "curl", "go", "kill", "mkdir", "export", "openssl"}
+
+// builtPath matches the binaries that the pages build.
+var builtPath = regexp.MustCompile(`^(\./)?bin/(wigeontray|wigeontray-guard)$`)
+
+func TestShellCommandsBeginWithSomethingThatExists(t *testing.T) {
+	c := qt.New(t)
+	known := commands(c)
+	for _, page := range pageFiles(c) {
+		for _, line := range shellCommands(readPage(c, page)) {
+			words := strings.Fields(line)
+			note := qt.Commentf("%s: %s", page, line)
+			c.Check(exists(words[0]), qt.IsTrue, note)
+			if strings.HasSuffix(words[0], "wigeontray") {
+				c.Check(isCommand(known, words[1:]), qt.IsTrue, note)
+			}
+			for _, w := range words[1:] {
+				if strings.HasPrefix(w, "./cmd/") || strings.HasPrefix(w, "./internal/") || strings.HasPrefix(w, "./bench") || strings.HasPrefix(w, ".ci/") {
+					_, err := os.Stat(filepath.Join(root, strings.TrimSuffix(w, "/...")))
+					c.Check(err, qt.IsNil, note)
+				}
+			}
+		}
+	}
+}
+
+func exists(word string) bool {
+	if slices.Contains(tools, word) || builtPath.MatchString(word) || word == "wigeontray" || word == "wigeontray-guard" {
+		return true
+	}
+	_, err := os.Stat(filepath.Join(root, word))
+	return err == nil
+}
+
+func isCommand(known []command, words []string) bool {
+	line := strings.Join(words, " ") + " "
+	return slices.ContainsFunc(known, func(k command) bool { return strings.HasPrefix(line, k.name+" ") })
+}
