--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -222,6 +222,7 @@
 	}
 	ini := fmt.Sprintf(`[node]
 worker = %s
+rack = r1
 failure_domain = callao-a
 region = lima
 [entries]
