confsync: failures of the store and of operators, in fake time

Cause: an accepted configuration must be in force within seconds and never revert, and an operator must never be told a wrong outcome, whatever the store does: down, flapping, silent, compacted, lagging, losing or delaying answers.

Ruled out: taking a write for lost when the record carries another write identity, since another operator may have amended it after this write took effect; the store's history of the key decides instead. Sending the write again after a conflict. Trusting an open watch: a check of two seconds' period, one call of a few hundred bytes, finds what it left out.

Change: tests of both halves, and a fault that delays a write past its sender's patience.

Seen failing first, against the naive forms: no rule on revisions (four tests), an empty configuration at start, one cleared by an outage, resuming a watch without a full read, no check of the watch, a newer schema taken as no record, any full read counted as a change, a lost answer reported as it is, no search of the history, no resending, a late write met as somebody else's, no comparison in the write, services that outlive their member.

Left open: a create that the store carries out after its sender gave up, and after another operator created and deleted the same name in between, takes effect although it was reported as a conflict.

--- /dev/null
+++ b/internal/confsync/amend_test.go
@@ -0,0 +1,303 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/record"
+	"wigeontray/internal/store"
+)
+
+// put amends the member ayni through the Sync under test.
+func (f *fixture) put(region string, expect int64) (int64, error) {
+	return f.sync.Put(f.t.Context(), record.KindMember, "ayni", member(region), expect)
+}
+
+// stored is the member ayni's region in the store itself; "" if it is not there.
+func (f *fixture) stored() (region string, revision int64) {
+	f.server.SetDown(false)
+	f.server.SetDelay(0)
+	kvs, _, err := f.client().Range(f.t.Context(), record.Key(record.KindMember, "ayni"))
+	f.Assert(err, qt.IsNil)
+	if len(kvs) == 0 {
+		return "", 0
+	}
+	p, err := record.Parse(kvs[0].Value)
+	f.Assert(err, qt.IsNil)
+	return p.Member.HomeRegion, kvs[0].ModRevision
+}
+
+func (f *fixture) assertConflict(err error, current int64) {
+	f.Assert(errkind.Of(err), qt.Equals, errkind.RecordConflict)
+	c, ok := errors.AsType[*ConflictError](err)
+	f.Assert(ok, qt.IsTrue)
+	f.Assert(c.Current, qt.Equals, current)
+}
+
+// Two operators amend the same revision at the same moment. One must win and
+// the other be told so with the revision that is there now; were both told
+// "done", one amendment would be lost without anybody knowing.
+func TestTwoOperatorsRace(t *testing.T) {
+	run(t, func(f *fixture) {
+		base := f.write("lima", 0)
+		other := f.start()
+		type outcome struct {
+			revision int64
+			err      error
+		}
+		var wg sync.WaitGroup
+		outcomes := make([]outcome, 2)
+		for i, s := range []*Sync{f.sync, other} {
+			wg.Go(func() {
+				r, err := s.Put(f.t.Context(), record.KindMember, "ayni", member(fmt.Sprintf("region-%d", i)), base)
+				outcomes[i] = outcome{r, err}
+			})
+		}
+		wg.Wait()
+		won, lost := 0, 1
+		if outcomes[0].err != nil {
+			won, lost = 1, 0
+		}
+		f.Assert(outcomes[won].err, qt.IsNil)
+		f.assertConflict(outcomes[lost].err, outcomes[won].revision)
+		stored, _ := f.stored()
+		f.Assert(stored, qt.Equals, fmt.Sprintf("region-%d", won))
+	})
+}
+
+// The write took effect and its answer was lost. An operator who is told that
+// it failed would amend again and meet a conflict with nobody.
+func TestLostAnswerIsFoundOnReadingBack(t *testing.T) {
+	run(t, func(f *fixture) {
+		for _, expect := range []int64{0, 2} {
+			f.server.LoseAnswers(1)
+			revision, err := f.put("lima", expect)
+			f.Assert(err, qt.IsNil)
+			_, stored := f.stored()
+			f.Assert(revision, qt.Equals, stored)
+		}
+		f.Assert(f.counter("amend.recovered"), qt.Equals, int64(2))
+	})
+}
+
+// The answer was lost and another operator has amended the record since. The
+// record carries the other's write identity, yet this write did take effect:
+// "conflict, nothing written" would be false.
+func TestLostAnswerThenAmendedByAnother(t *testing.T) {
+	run(t, func(f *fixture) {
+		base := f.write("lima", 0)
+		f.server.LoseAnswers(1)
+		c := f.sendLosing(&change{kind: record.KindMember, name: "ayni", expect: base}, "cusco")
+		f.write("tacna", c.revision)
+		o, revision, current := f.sync.resolve(f.t.Context(), c.change)
+		f.Assert(o, qt.Equals, tookEffect)
+		f.Assert(revision, qt.Equals, c.revision)
+		f.Assert(current, qt.Equals, c.revision+1)
+	})
+}
+
+// sent is a change whose answer was lost, with the revision it got.
+type sent struct {
+	change   *change
+	revision int64
+}
+
+func (f *fixture) sendLosing(c *change, region string) sent {
+	value, err := record.WithWriteID(member(region), "w-1")
+	f.Assert(err, qt.IsNil)
+	c.value, c.writeID, c.base = value, "w-1", max(c.expect, f.sync.Revision())
+	_, err = f.sync.send(f.t.Context(), c)
+	f.Assert(err, qt.ErrorIs, store.ErrUnavailable)
+	return sent{c, f.server.Revision()}
+}
+
+// A new record was written, its answer was lost, and another operator deleted
+// it before it was looked up. To write it again would bring back what the other
+// operator was told is gone.
+func TestLostAnswerThenDeletedByAnother(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.server.LoseAnswers(1)
+		c := f.sendLosing(&change{kind: record.KindMember, name: "ayni"}, "cusco")
+		_, err := f.client().Delete(f.t.Context(), c.change.key(), c.revision)
+		f.Assert(err, qt.IsNil)
+		o, revision, _ := f.sync.resolve(f.t.Context(), c.change)
+		f.Assert(o, qt.Equals, tookEffect)
+		f.Assert(revision, qt.Equals, c.revision)
+	})
+}
+
+// The connection breaks before the store has seen the write, and the store is
+// back a moment later. The write is sent again, and takes effect once.
+func TestWriteThatNeverArrivedIsSentAgain(t *testing.T) {
+	run(t, func(f *fixture) {
+		base := f.write("lima", 0)
+		f.server.SetDown(true)
+		time.AfterFunc(2*time.Second, func() { f.server.SetDown(false) })
+		revision, err := f.put("cusco", base)
+		f.Assert(err, qt.IsNil)
+		f.Assert(revision, qt.Equals, base+1)
+	})
+}
+
+// The connection breaks before the store has seen the write, and another
+// operator amends the record in the meantime: this write lost.
+func TestWriteThatNeverArrivedLosesTheRace(t *testing.T) {
+	run(t, func(f *fixture) {
+		base := f.write("lima", 0)
+		f.server.SetDown(true)
+		result := make(chan error, 1)
+		go func() { _, err := f.put("cusco", base); result <- err }()
+		time.Sleep(2 * time.Second)
+		f.server.SetDown(false)
+		// The retry needs a moment; the other operator is faster.
+		current, err := f.client().Put(f.t.Context(), record.Key(record.KindMember, "ayni"), member("tacna"), base, 0)
+		f.Assert(err, qt.IsNil)
+		f.assertConflict(<-result, current)
+		region, _ := f.stored()
+		f.Assert(region, qt.Equals, "tacna")
+	})
+}
+
+// The answer was lost and the store stays down. Neither "done" nor "conflict"
+// can be known; the operator is told so within the limit, and what may be done.
+func TestOutcomeThatCannotBeKnownIsSaidToBeUnknown(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.server.LoseAnswers(1)
+		f.server.SetDelay(10 * time.Millisecond)
+		result := make(chan error, 1)
+		go func() { _, err := f.put("lima", 0); result <- err }()
+		for f.server.Revision() == 1 {
+			time.Sleep(time.Millisecond)
+		}
+		f.server.SetDown(true)
+		start := time.Now()
+		err := <-result
+		f.Assert(errkind.Of(err), qt.Equals, errkind.StoreUnavailable)
+		f.Assert(errkind.From(err).Ran, qt.Equals, errkind.RanUnknown)
+		f.Assert(err, qt.ErrorMatches, `.*not known; read the record.*`)
+		f.Assert(time.Since(start) <= DefaultResolveWithin, qt.IsTrue)
+	})
+}
+
+// The store hangs for longer than a call may take while two operators amend
+// the same record. Whoever is told "done" must be in the store, whoever is told
+// "conflict" must not, and nobody may be told both.
+func TestSlowStoreAndLostAnswers(t *testing.T) {
+	for seed := range 20 {
+		run(t, func(f *fixture) {
+			base := f.write("lima", 0)
+			other := f.start()
+			f.server.LoseAnswers(1 + seed%3)
+			f.server.SetDelay(time.Duration(seed) * 150 * time.Millisecond)
+			time.AfterFunc(time.Duration(seed)*time.Second/3, func() { f.server.SetDelay(0) })
+			errs := make([]error, 2)
+			var wg sync.WaitGroup
+			for i, s := range []*Sync{f.sync, other} {
+				wg.Go(func() {
+					_, errs[i] = s.Put(f.t.Context(), record.KindMember, "ayni", member(fmt.Sprintf("region-%d", i)), base)
+				})
+			}
+			wg.Wait()
+			stored, _ := f.stored()
+			for i, err := range errs {
+				mine := stored == fmt.Sprintf("region-%d", i)
+				switch errkind.Of(err) {
+				case errkind.None:
+					f.Assert(mine, qt.IsTrue, qt.Commentf("seed %d", seed))
+				case errkind.RecordConflict:
+					f.Assert(mine, qt.IsFalse, qt.Commentf("seed %d", seed))
+				default:
+					f.Assert(errkind.Of(err), qt.Equals, errkind.StoreUnavailable, qt.Commentf("seed %d", seed))
+				}
+			}
+		})
+	}
+}
+
+// A write sits in a queue of the store until its sender has given up on it, then
+// takes effect, just ahead of the same write sent again. The second meets the
+// first; to report that as a conflict would blame an operator who is not there.
+func TestWriteThatArrivesLateMeetsItself(t *testing.T) {
+	run(t, func(f *fixture) {
+		base := f.write("lima", 0)
+		f.server.DelayWrites(1100*time.Millisecond, 300*time.Millisecond)
+		revision, err := f.put("cusco", base)
+		f.Assert(err, qt.IsNil)
+		f.Assert(revision, qt.Equals, base+1)
+	})
+}
+
+// A deletion takes effect and its answer is lost.
+func TestLostAnswerOfADeletion(t *testing.T) {
+	run(t, func(f *fixture) {
+		base := f.write("lima", 0)
+		f.server.LoseAnswers(1)
+		revision, err := f.sync.Delete(f.t.Context(), record.KindMember, "ayni", base)
+		f.Assert(err, qt.IsNil)
+		f.Assert(revision, qt.Equals, base+1)
+		_, stored := f.stored()
+		f.Assert(stored, qt.Equals, int64(0))
+		_, err = f.sync.Delete(f.t.Context(), record.KindMember, "ayni", base)
+		f.assertConflict(err, 0)
+	})
+}
+
+// An operator sends a record that is spoilt or stands under another's name. It
+// must be refused before the store sees it, with the field that is wrong.
+func TestInvalidRecordIsNotWritten(t *testing.T) {
+	run(t, func(f *fixture) {
+		for value, want := range map[string]string{
+			`{"kind":"member","name":"leeuwin","schema":1}`:             `.*name: .*`,
+			`{"kind":"member","name":"ayni","schema":1,"teams":["A"]}`:  `.*teams\.0: .*`,
+			`{"kind":"member","name":"ayni","schema":9}`:                `.*schema: 9 is above 1.*`,
+			`{"kind":"member","name":"ayni","schema":1,"tokens":["x"]}`: `.*tokens: unknown field`,
+			`{"kind":"member","name":"ayni","schema":1,"name":"ayni"}`:  `.*name: stands twice`,
+			`[]`: `.*want a JSON object.*`,
+		} {
+			_, err := f.sync.Put(f.t.Context(), record.KindMember, "ayni", []byte(value), 0)
+			f.Check(errkind.Of(err), qt.Equals, errkind.RecordInvalid)
+			f.Check(err, qt.ErrorMatches, want)
+		}
+		f.Assert(f.server.Revision(), qt.Equals, int64(1))
+	})
+}
+
+// An operator deletes a member whose services are in use. Its callers must be
+// refused everywhere, not served by a service without an owner; and when the
+// record comes back, so does the service.
+func TestDeletedMemberTakesItsServicesOutOfForce(t *testing.T) {
+	run(t, func(f *fixture) {
+		revision := f.write("lima", 0)
+		_, err := f.sync.Put(f.t.Context(), record.KindService, "ayni/reserva", []byte(`{"kind":"service","name":"ayni/reserva","schema":2}`), 0)
+		f.Assert(err, qt.IsNil)
+		synctest.Wait()
+		inForce := func() bool { _, ok := f.sync.Current().Service("ayni/reserva"); return ok }
+		f.Assert(inForce(), qt.IsTrue)
+		_, err = f.sync.Delete(f.t.Context(), record.KindMember, "ayni", revision)
+		f.Assert(err, qt.IsNil)
+		synctest.Wait()
+		f.Assert(inForce(), qt.IsFalse)
+		f.write("lima", 0)
+		f.Assert(inForce(), qt.IsTrue)
+	})
+}
+
+// An operator's client goes away in the middle of an amendment. The call ends
+// with it and says that the outcome is unknown.
+func TestCallerThatGivesUp(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.server.SetDown(true)
+		ctx, cancel := context.WithTimeout(f.t.Context(), time.Second)
+		defer cancel()
+		_, err := f.sync.Put(ctx, record.KindMember, "ayni", member("lima"), 0)
+		f.Assert(errkind.Of(err), qt.Equals, errkind.StoreUnavailable)
+	})
+}
--- /dev/null
+++ b/internal/confsync/sync_test.go
@@ -0,0 +1,320 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+
+	"wigeontray/internal/record"
+	"wigeontray/internal/store"
+	"wigeontray/internal/store/standin"
+)
+
+// inForceWithin is the brief's limit for a change to be in force everywhere.
+const inForceWithin = 5 * time.Second
+
+// fixture is one entry's Sync and the stand-in that it follows.
+type fixture struct {
+	*qt.C
+	t      *testing.T
+	server *standin.Server
+	sync   *Sync
+	stop   context.CancelFunc
+}
+
+// run tests with a running Sync, in fake time.
+func run(t *testing.T, test func(f *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{C: qt.New(t), t: t, server: standin.New()}
+		defer f.server.Close()
+		f.sync = f.start()
+		test(f)
+	})
+}
+
+func (f *fixture) client() *store.Etcd {
+	return store.NewEtcd(store.Options{
+		Endpoints: []string{"http://store"}, Timeout: time.Second, Transport: &standin.Transport{Handler: f.server},
+	})
+}
+
+// start runs one more entry against the store until the test ends.
+func (f *fixture) start() *Sync {
+	s := New(Options{Store: f.client()})
+	ctx, cancel := context.WithCancel(f.t.Context())
+	f.stop = cancel
+	go func() { _ = s.Run(ctx) }()
+	synctest.Wait()
+	return s
+}
+
+func member(region string) []byte {
+	return fmt.Appendf(nil, `{"kind":"member","name":"ayni","schema":1,"home_region":%q}`, region)
+}
+
+// write amends the member ayni as another process would, past the faults of
+// the client under test, and gives the new revision.
+func (f *fixture) write(region string, expect int64) int64 {
+	revision, err := f.client().Put(f.t.Context(), record.Key(record.KindMember, "ayni"), member(region), expect, 0)
+	f.Assert(err, qt.IsNil)
+	synctest.Wait() // for the watch to deliver it
+	return revision
+}
+
+// region is what s obeys for ayni; "" for nothing.
+func region(s *Sync) string {
+	if m, ok := s.Current().Member("ayni"); ok {
+		return m.HomeRegion
+	}
+	return ""
+}
+
+func (f *fixture) counter(name string) int64 {
+	return metrics.GetOrRegisterCounter("config."+name, f.sync.o.Registry).Count()
+}
+
+func TestChangesAreInForceAtOnce(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.Assert(f.sync.Ready(), qt.IsTrue)
+		changed, stop := f.sync.Subscribe()
+		defer stop()
+		revision := f.write("lima", 0)
+		synctest.Wait()
+		f.Assert(region(f.sync), qt.Equals, "lima")
+		f.Assert(f.sync.Revision(), qt.Equals, revision)
+		<-changed
+	})
+}
+
+// The store is down for an hour. The entry must go on under what is in force,
+// and take the changes made since as soon as the store answers.
+func TestStoreOutageKeepsTheConfiguration(t *testing.T) {
+	run(t, func(f *fixture) {
+		revision := f.write("lima", 0)
+		f.server.SetDown(true)
+		time.Sleep(time.Hour)
+		f.Assert(region(f.sync), qt.Equals, "lima")
+		f.Assert(f.sync.StoreUp(), qt.IsFalse)
+		f.server.SetDown(false)
+		f.write("cusco", revision)
+		time.Sleep(inForceWithin)
+		f.Assert(region(f.sync), qt.Equals, "cusco")
+		f.Assert(f.sync.StoreUp(), qt.IsTrue)
+	})
+}
+
+// The store flaps: up for a second, down for a second, for ten minutes. Every
+// change is still in force within the limit, and the calls stay few, or the
+// entries together would keep the store from coming back.
+func TestFlappingStore(t *testing.T) {
+	run(t, func(f *fixture) {
+		revision := f.write("lima", 0)
+		for i := range 300 {
+			f.server.SetDown(true)
+			time.Sleep(time.Second)
+			f.server.SetDown(false)
+			name := fmt.Sprintf("region-%d", i)
+			revision = f.write(name, revision)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(inForceWithin)
+		f.Assert(region(f.sync), qt.Equals, "region-299")
+		calls := f.server.Calls("/v3/kv/range") + f.server.Calls("/v3/watch")
+		f.Assert(calls < 5*600, qt.IsTrue, qt.Commentf("%d calls in 600 s", calls))
+	})
+}
+
+// An entry starts while the store is down. If it made up an empty configuration
+// it would refuse every caller as unknown; if it took an old one it would fall
+// behind what its peers obey. It is not ready until a peer's snapshot arrives.
+func TestEntryStartedDuringAnOutage(t *testing.T) {
+	run(t, func(f *fixture) {
+		first := f.write("lima", 0)
+		synctest.Wait()
+		old, err := f.sync.Current().Encode()
+		f.Assert(err, qt.IsNil)
+		second := f.write("cusco", first)
+		synctest.Wait()
+		f.server.SetDown(true)
+		late := f.start()
+		time.Sleep(time.Minute)
+		f.Assert(late.Ready(), qt.IsFalse)
+		f.Assert(late.Current(), qt.IsNil)
+
+		b, err := f.sync.Current().Encode()
+		f.Assert(err, qt.IsNil)
+		taken, err := late.Offer(b)
+		f.Assert(err, qt.IsNil)
+		f.Assert(taken, qt.IsTrue)
+		<-late.ReadyC()
+		f.Assert(late.Revision(), qt.Equals, second)
+		f.Assert(region(late), qt.Equals, "cusco")
+		taken, err = late.Offer(old)
+		f.Assert(err, qt.IsNil)
+		f.Assert(taken, qt.IsFalse)
+		f.Assert(region(late), qt.Equals, "cusco")
+	})
+}
+
+// A watch stays open but delivers nothing more, as when the server behind a
+// balancer has gone. Without a check of its own the entry would obey the old
+// configuration until somebody wonders why.
+func TestStaleWatchIsNoticed(t *testing.T) {
+	run(t, func(f *fixture) {
+		first := f.write("lima", 0)
+		synctest.Wait()
+		f.server.StallWatches(true)
+		second := f.write("cusco", first)
+		time.Sleep(inForceWithin)
+		f.Assert(region(f.sync), qt.Equals, "cusco")
+		f.Assert(f.counter("watch.stale"), qt.Equals, int64(1))
+		_, err := f.client().Delete(f.t.Context(), record.Key(record.KindMember, "ayni"), second)
+		f.Assert(err, qt.IsNil)
+		time.Sleep(inForceWithin)
+		f.Assert(region(f.sync), qt.Equals, "")
+	})
+}
+
+// While the entry is cut off the store compacts its history, so that the watch
+// cannot be resumed. The entry must read everything again; a deletion in the
+// gap would otherwise never be seen.
+func TestCompactedWatchReadsAgain(t *testing.T) {
+	run(t, func(f *fixture) {
+		revision := f.write("lima", 0)
+		synctest.Wait()
+		f.server.StallWatches(true)
+		_, err := f.client().Delete(f.t.Context(), record.Key(record.KindMember, "ayni"), revision)
+		f.Assert(err, qt.IsNil)
+		f.server.Compact()
+		f.server.StallWatches(false)
+		time.Sleep(time.Second)
+		f.Assert(region(f.sync), qt.Equals, "")
+		f.Assert(f.counter("watch.compacted"), qt.Equals, int64(1))
+	})
+}
+
+// A replica of the store lags and answers with an old revision just when the
+// entry reads everything again. To obey it would bring back a configuration
+// that operators have replaced.
+func TestStoreThatAnswersFromThePast(t *testing.T) {
+	run(t, func(f *fixture) {
+		first := f.write("lima", 0)
+		second := f.write("cusco", first)
+		synctest.Wait()
+		f.server.AnswerFrom(first)
+		f.server.StallWatches(true)
+		f.server.DropWatches()
+		time.Sleep(time.Minute)
+		f.Assert(region(f.sync), qt.Equals, "cusco")
+		f.Assert(f.counter("store.past") > 0, qt.IsTrue)
+		f.server.AnswerFrom(0)
+		f.server.StallWatches(false)
+		f.write("tacna", second)
+		time.Sleep(inForceWithin)
+		f.Assert(region(f.sync), qt.Equals, "tacna")
+	})
+}
+
+// A peer that still watches hands on a newer snapshot while this entry's watch
+// lags; then the watch delivers what is in the snapshot already. The older
+// change must not come back in force for even a moment.
+func TestWatchBehindAnOfferDoesNotRevert(t *testing.T) {
+	run(t, func(f *fixture) {
+		first := f.write("lima", 0)
+		synctest.Wait()
+		f.server.StallWatches(true)
+		second := f.write("cusco", first)
+		third := f.write("tacna", second)
+		kvs, revision, err := f.client().Range(f.t.Context(), store.RecordPrefix)
+		f.Assert(err, qt.IsNil)
+		f.Assert(revision, qt.Equals, third)
+		peer := record.Build(nil, []record.Raw{{Key: kvs[0].Key, Value: kvs[0].Value, ModRevision: third}}, third)
+		b, err := peer.Encode()
+		f.Assert(err, qt.IsNil)
+		_, err = f.sync.Offer(b)
+		f.Assert(err, qt.IsNil)
+		f.sync.apply(store.Batch{Revision: second, Events: []store.Event{{KV: store.KV{
+			Key: kvs[0].Key, Value: member("cusco"), ModRevision: second,
+		}}}})
+		f.Assert(region(f.sync), qt.Equals, "tacna")
+		f.server.StallWatches(false)
+		synctest.Wait()
+		f.Assert(region(f.sync), qt.Equals, "tacna")
+		f.Assert(f.sync.Revision(), qt.Equals, third)
+	})
+}
+
+// A record of a schema that only a newer version knows reaches this entry. The
+// record accepted before must stay in force, and an entry that starts later,
+// which never saw that one, takes it over from a peer.
+func TestRecordOfANewerSchemaKeepsTheAcceptedOne(t *testing.T) {
+	run(t, func(f *fixture) {
+		first := f.write("lima", 0)
+		synctest.Wait()
+		_, err := f.client().Put(f.t.Context(), record.Key(record.KindMember, "ayni"),
+			[]byte(`{"kind":"member","name":"ayni","schema":7,"shape":"round"}`), first, 0)
+		f.Assert(err, qt.IsNil)
+		synctest.Wait()
+		f.Assert(region(f.sync), qt.Equals, "lima")
+		rejected := f.sync.Current().Rejected()
+		f.Assert(rejected, qt.HasLen, 1)
+		f.Assert(rejected[0].TooNew, qt.IsTrue)
+		f.Assert(rejected[0].InForce, qt.Equals, first)
+		f.Assert(metrics.GetOrRegisterGauge("config.records_too_new", f.sync.o.Registry).Value(), qt.Equals, int64(1))
+
+		late := f.start()
+		f.Assert(region(late), qt.Equals, "")
+		b, err := f.sync.Current().Encode()
+		f.Assert(err, qt.IsNil)
+		taken, err := late.Offer(b)
+		f.Assert(err, qt.IsNil)
+		f.Assert(taken, qt.IsTrue)
+		f.Assert(region(late), qt.Equals, "lima")
+		taken, _ = late.Offer(b)
+		f.Assert(taken, qt.IsFalse)
+	})
+}
+
+// Watches break every second although nothing changes. Reading the same again
+// must not count as a new configuration, or every break would send the whole
+// of it to each guard.
+func TestReadingTheSameAgainChangesNothing(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.write("lima", 0)
+		synctest.Wait()
+		changed, stop := f.sync.Subscribe()
+		defer stop()
+		for i := range 5 {
+			_, err := f.client().Put(f.t.Context(), store.EntryPrefix+fmt.Sprint(i), nil, 0, 0)
+			f.Assert(err, qt.IsNil)
+			f.server.DropWatches()
+			time.Sleep(time.Second)
+		}
+		f.Assert(changed, qt.HasLen, 0)
+	})
+}
+
+func TestAcknowledgements(t *testing.T) {
+	run(t, func(f *fixture) {
+		revision := f.write("lima", 0)
+		synctest.Wait()
+		f.sync.Acked("guard-1", revision)
+		f.sync.Acked("guard-2", 1)
+		least, processes := f.sync.MinAcked()
+		f.Assert(least, qt.Equals, int64(1))
+		f.Assert(processes, qt.Equals, 2)
+		done := make(chan error, 1)
+		go func() { done <- f.sync.WaitAcks(f.t.Context(), revision) }()
+		synctest.Wait()
+		f.Assert(done, qt.HasLen, 0)
+		f.sync.Acked("guard-2", revision)
+		f.Assert(<-done, qt.IsNil)
+		f.sync.Forget("guard-1")
+		f.Assert(f.sync.Acks(), qt.DeepEquals, map[string]int64{"guard-2": revision})
+	})
+}
--- a/internal/store/standin/faults.go
+++ b/internal/store/standin/faults.go
@@ -14,6 +14,17 @@
 	loseWrite int
 	past      int64
 	stalled   bool
+	late      []time.Duration
+}
+
+// nextLate takes the time by which the next write comes late.
+func (f *Faults) nextLate(path string) time.Duration {
+	if len(f.late) == 0 || path != etcdjson.PathTxn {
+		return 0
+	}
+	d := f.late[0]
+	f.late = f.late[1:]
+	return d
 }
 
 // loses tells whether the answer of a call that is done is to be lost.
@@ -29,8 +40,9 @@
 func (s *Server) before(r *http.Request) {
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
-	delay := s.faults.delay
+	delay, late := s.faults.delay, s.faults.nextLate(r.URL.Path)
 	s.mu.Unlock()
+	time.Sleep(late)
 	if delay > 0 {
 		select {
 		case <-time.After(delay):
@@ -70,6 +82,14 @@
 	s.faults.loseWrite = n
 }
 
+// DelayWrites makes the next writes wait, each for its time, and carries them
+// out whether or not their clients still wait, as a queue in the service does.
+func (s *Server) DelayWrites(late ...time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.late = late
+}
+
 // AnswerFrom makes reads answer with the content at a past revision, as a
 // replica does that lags behind; 0 ends it.
 func (s *Server) AnswerFrom(revision int64) {
