--- /dev/null
+++ b/internal/cli/capacity.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"wigeontray/internal/capacity"
+	"wigeontray/internal/node"
+	"wigeontray/internal/tlsconf"
+)
+
+type capacityCmd struct {
+	Inner       string        `placeholder:"HOST:PORT" help:"Inner address of a running entry; without one, an entry in this process is measured."`
+	Callers     string        `placeholder:"URL" help:"Base URL of the entry for callers."`
+	Admin       string        `placeholder:"URL" help:"Base URL of the entry for operators."`
+	TokenFile   string        `placeholder:"FILE" help:"File with the member's token."`
+	KeyFile     string        `placeholder:"FILE" help:"File with the key that guards present."`
+	Cert        string        `placeholder:"FILE" help:"Certificate for the inner protocol."`
+	Key         string        `placeholder:"FILE" help:"Key of the certificate."`
+	CA          string        `placeholder:"FILE" help:"Authority of the entry's certificate."`
+	Member      string        `default:"ayni" help:"Member that submits."`
+	Service     string        `default:"measure" help:"Service of the member that has no other guards."`
+	Guards      []int         `help:"Numbers of guards to measure; 10,50,200,820 if left out."`
+	Jobs        []int         `help:"Tasks in a job to measure; 1,100 if left out."`
+	Idle        time.Duration `default:"15s" help:"Time to watch idle links at each size."`
+	Load        time.Duration `default:"1500ms" help:"Time to load the entry at each size."`
+	Concurrency int           `default:"32" help:"Callers at once."`
+	JSON        bool          `help:"Write JSON in place of tables."`
+}
+
+// Run measures and prints what a guard and a task cost at an entry.
+func (c *capacityCmd) Run(e *env) error {
+	o := capacity.Options{
+		Guards: c.Guards, Jobs: c.Jobs, Idle: c.Idle, Load: c.Load,
+		Callers: c.Concurrency, JSON: c.JSON, Progress: e.stderr,
+	}
+	if c.Inner == "" {
+		return c.measureOwn(e, o)
+	}
+	target, err := c.target()
+	if err != nil {
+		return err
+	}
+	o.Target = *target
+	return capacity.Run(e.ctx, o, e.stdout)
+}
+
+func (c *capacityCmd) target() (*capacity.Target, error) {
+	t := &capacity.Target{Inner: c.Inner, Callers: c.Callers, Admin: c.Admin, Member: c.Member, Service: c.Service}
+	var err error
+	if t.Token, err = secretFrom(c.TokenFile); err != nil {
+		return nil, err
+	}
+	if c.KeyFile != "" {
+		if t.FleetKey, err = secretFrom(c.KeyFile); err != nil {
+			return nil, err
+		}
+	}
+	if c.Cert != "" {
+		t.InnerTLS, err = tlsconf.InnerClient(tlsconf.Files{Cert: c.Cert, Key: c.Key, CA: c.CA})
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errUsage, err)
+		}
+	}
+	return t, nil
+}
+
+// measureOwn measures an entry of the quickstart in this process.
+func (c *capacityCmd) measureOwn(e *env, o capacity.Options) error {
+	s, err := node.NewStandalone("127.0.0.1:0", false, io.Discard)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(e.ctx)
+	defer stop()
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Run(ctx) }()
+	if err := s.AwaitReady(ctx); err != nil {
+		return err
+	}
+	callers, inner, admin := s.Addrs()
+	o.Target = capacity.Target{
+		Inner: inner, Callers: "http://" + callers, Admin: "http://" + admin,
+		Token: node.SampleMembers()[0].Token, Member: c.Member, Service: c.Service, Shared: true,
+	}
+	if err := capacity.Run(ctx, o, e.stdout); err != nil {
+		return err
+	}
+	stop()
+	return <-stopped
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,6 +44,10 @@
 	Standalone standaloneCmd `cmd:"" help:"Run entry, guards, sample upstreams and store in one process and serve two sample jobs."`
 	Submit     submitCmd     `cmd:"" help:"Submit a job and print its answer as JSON."`
 	Status     statusCmd     `cmd:"" help:"Print what is in force at an entry as JSON."`
+	Check      checkCmd      `cmd:"" help:"Check settings and records without using them."`
+	Replay     replayCmd     `cmd:"" help:"Replay traces against the decisions and report whether their outcomes are met."`
+	Compare    compareCmd    `cmd:"" help:"Compare the ways of placing tasks on generated workloads."`
+	Capacity   capacityCmd   `cmd:"" help:"Measure what guards and tasks cost at an entry."`
 	Keys       keysCmd       `cmd:"" help:"Make a certificate authority and certificates for a fleet, or a member's token."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/cli/replay.go
@@ -0,0 +1,80 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"wigeontray/internal/replay"
+)
+
+type replayCmd struct {
+	Trace []string `arg:"" type:"existingfile" help:"Trace files; docs/trace-format.md has their form."`
+	Seed  uint64   `default:"1" help:"Seed of the random numbers."`
+	JSON  bool     `help:"Write JSON in place of a table."`
+}
+
+// Run replays the traces and fails when a promise was broken or a stated
+// outcome was missed.
+func (c *replayCmd) Run(e *env) error {
+	defer e.progress("replaying")()
+	err := replay.Main(e.stdout, c.Trace, c.Seed, c.JSON)
+	if errors.Is(err, replay.ErrUnmet) {
+		return fmt.Errorf("%w: %w", ErrFailed, err)
+	}
+	return err
+}
+
+type compareCmd struct {
+	Seed   uint64 `default:"1" help:"Seed of the random numbers."`
+	Only   string `help:"Run only workloads and placements with this in their name."`
+	Traces string `type:"existingdir" help:"Folder with traces to compare besides the generated workloads."`
+	JSON   bool   `help:"Write JSON in place of a table."`
+}
+
+// Run prints the figures of every placement on every workload.
+func (c *compareCmd) Run(e *env) error {
+	o := replay.CompareOptions{Seed: c.Seed, Only: c.Only, JSON: c.JSON}
+	if c.Traces != "" {
+		paths, err := filepath.Glob(filepath.Join(c.Traces, "*.trace"))
+		if err != nil {
+			return fmt.Errorf("%w: %w", errUsage, err)
+		}
+		if o.Traces, err = replay.LoadFiles(paths); err != nil {
+			return fmt.Errorf("%w: %w", errUsage, err)
+		}
+	}
+	defer e.progress("comparing")()
+	return replay.Compare(e.stdout, o)
+}
+
+type checkCmd struct {
+	File []string `arg:"" help:"Settings (.ini) and records (.json); folders are read whole."`
+}
+
+// Run checks every file and lists all problems.
+func (c *checkCmd) Run(e *env) error {
+	var problems []error
+	checked := 0
+	for _, root := range c.File {
+		err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
+			if err != nil || d.IsDir() {
+				return err
+			}
+			checked++
+			if err := checkFile(path); err != nil {
+				problems = append(problems, err)
+			}
+			return nil
+		})
+		if err != nil {
+			return fmt.Errorf("%w: %w", errUsage, err)
+		}
+	}
+	if len(problems) > 0 {
+		return fmt.Errorf("%w: %w", ErrFailed, errors.Join(problems...))
+	}
+	_, err := fmt.Fprintf(e.stdout, "%d files are fine\n", checked)
+	return err
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -48,7 +48,7 @@
 
 // Run serves, submits one job for each sample member, and prints the answers.
 func (c *standaloneCmd) Run(e *env) error {
-	s, err := node.NewStandalone(c.Listen, e.stderr)
+	s, err := node.NewStandalone(c.Listen, true, e.stderr)
 	if err != nil {
 		return err
 	}
--- a/internal/node/standalone.go
+++ b/internal/node/standalone.go
@@ -49,8 +49,9 @@
 	https  []*httpserve.Server
 }
 
-// NewStandalone builds the system. Callers are served at listen.
-func NewStandalone(listen string, logs io.Writer) (*Standalone, error) {
+// NewStandalone builds the system. Callers are served at listen; without workers
+// it has members and services, and no guard.
+func NewStandalone(listen string, workers bool, logs io.Writer) (*Standalone, error) {
 	s := &Standalone{kv: standin.New()}
 	set := settings.DefaultEntry()
 	set.Name, set.Region, set.FailureDomain = "entry", "local", "local-a"
@@ -61,6 +62,9 @@
 		return nil, err
 	}
 	s.Abrupt = true
+	if !workers {
+		return s, nil
+	}
 	for _, m := range SampleMembers() {
 		for _, d := range m.domains {
 			if err := s.addWorker(m, d); err != nil {
@@ -138,7 +142,8 @@
 			return err
 		}
 	}
-	return nil
+	// A service without workers, for the capacity command to bring its own.
+	return put(record.KindService, "ayni/measure", `{"kind":"service","name":"ayni/measure","schema":1,"path":"/"}`)
 }
 
 // AwaitReady waits until the configuration is in force and every guard is
