Guard: failure tests of links, upstream, configuration, health and stop

Cause: a guard's promises are broken at its edges: a library that repeats a request, a link that drops what it has not sent, an upstream that cuts its answer, an entry that restarts with an older configuration.

Ruled out: trusting the error of net/http.

Times and counts from a broken entry are clamped.

Not tested: kills of the real binary.

--- a/internal/guard/fake_test.go
+++ b/internal/guard/fake_test.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
-	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/sample"
 	"wigeontray/internal/wire"
@@ -22,9 +23,8 @@
 
 // fakeEntry is the other end of a guard's links. It records what it receives.
 type fakeEntry struct {
-	name     identity.Incarnation
-	revision int64
-	others   []wire.EntryAddr
+	name   identity.Incarnation
+	others []wire.EntryAddr // told in Welcome
 
 	mu     sync.Mutex
 	hello  *wire.Hello
@@ -36,7 +36,15 @@
 func (e *fakeEntry) dial(context.Context, string) (wire.Link, error) {
 	a, b := wiretest.Pipe()
 	go e.serve(b)
-	return a, nil
+	return orderlyLink{a}, nil
+}
+
+// orderlyLink ends a moment after it is told to. A socket delivers what was
+// written before its close; a wiretest.Pipe may drop it.
+type orderlyLink struct{ wire.Link }
+
+func (l orderlyLink) Close(reason string) {
+	time.AfterFunc(time.Microsecond, func() { l.Link.Close(reason) })
 }
 
 // serve welcomes a guard and then reads until the link ends.
@@ -48,7 +56,7 @@
 	e.mu.Lock()
 	e.hello, e.link = f.Hello, link
 	e.mu.Unlock()
-	_ = link.Send(&wire.Frame{Welcome: &wire.Welcome{Version: 1, Incarnation: e.name, Revision: e.revision, Entries: e.others}})
+	_ = link.Send(&wire.Frame{Welcome: &wire.Welcome{Version: 1, Incarnation: e.name, Entries: e.others}})
 	for {
 		f, err := link.Recv(context.Background())
 		if err != nil {
@@ -108,6 +116,8 @@
 	conns chan net.Conn
 	done  chan struct{}
 	once  sync.Once
+
+	frozen atomic.Bool // connections are made, and nobody reads them
 }
 
 func newMemoryNet() *memoryNet {
@@ -116,6 +126,9 @@
 
 func (n *memoryNet) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	a, b := net.Pipe()
+	if n.frozen.Load() {
+		return a, nil
+	}
 	select {
 	case n.conns <- b:
 		return a, nil
@@ -126,6 +139,8 @@
 	}
 }
 
+func (n *memoryNet) freeze() { n.frozen.Store(true) }
+
 func (n *memoryNet) Accept() (net.Conn, error) {
 	select {
 	case c := <-n.conns:
@@ -158,8 +173,8 @@
 
 // newBench starts a guard. It must be called in a synctest bubble, and ended
 // with close.
-func newBench(t testing.TB, change func(*Options)) *bench {
-	b := &bench{entry: &fakeEntry{name: home}, upstream: sample.New("w1", 1), net: newMemoryNet(), ran: make(chan error, 1)}
+func newBench(t testing.TB, change func(*Options), others ...wire.EntryAddr) *bench {
+	b := &bench{entry: &fakeEntry{name: home, others: others}, upstream: sample.New("w1", 1), net: newMemoryNet(), ran: make(chan error, 1)}
 	b.server = &http.Server{Handler: b.upstream}
 	go func() { _ = b.server.Serve(b.net) }()
 	opt := testOptions()
@@ -181,9 +196,7 @@
 	b.cancel()
 	_ = b.server.Close()
 	<-b.ran
-	if link := b.entry.newest(); link != nil {
-		link.Close("test over")
-	}
+	time.Sleep(time.Millisecond) // links end
 }
 
 // task makes a Start of a fresh job, born now.
@@ -192,17 +205,19 @@
 	return &wire.Start{Ref: wire.Ref{Member: "ayni", Key: key.Text}, Of: 1, Home: home, LeftMs: 5000, Body: []byte(body)}
 }
 
-// verdict is what a test compares of a result.
-type verdict struct {
-	Kind   errkind.Kind
-	Ran    errkind.Ran
-	Status int
-}
-
-func verdicts(results []wire.Result) []verdict {
-	var out []verdict
+// verdicts writes what a test compares of results.
+func verdicts(results ...wire.Result) []string {
+	var out []string
 	for _, r := range results {
-		out = append(out, verdict{r.Kind, r.Ran, r.Status})
+		out = append(out, fmt.Sprintf("%v, ran %v, %d", r.Kind, r.Ran, r.Status))
 	}
 	return out
 }
+
+// expect compares all results that came so far.
+func (e *fakeEntry) expect(t testing.TB, want ...string) {
+	t.Helper()
+	qt.Assert(t, verdicts(e.results()...), qt.DeepEquals, want)
+}
+
+const served = "none, ran yes, 200"
--- a/internal/guard/options.go
+++ b/internal/guard/options.go
@@ -55,8 +55,11 @@
 	HealthEvery   time.Duration // period of the health check
 	HealthTimeout time.Duration // bound on one health check
 	Connections   int           // to the upstream at once, at least 2
-	UpstreamIdle  time.Duration // idle time after which a connection is closed
-	MaxAnswer     int           // bytes of one upstream answer
+	// UpstreamIdle is how long a connection is kept unused. It must be shorter
+	// than the upstream's own limit: if the upstream closes a connection at the
+	// moment when a task is written to it, nobody knows whether the task ran.
+	UpstreamIdle time.Duration
+	MaxAnswer    int // bytes of one upstream answer
 
 	Admin    string           // loopback host:port of the admin HTTP; empty for none
 	Metrics  http.Handler     // serves /metrics on the admin HTTP; may be nil
--- a/internal/ledger/fence.go
+++ b/internal/ledger/fence.go
@@ -14,7 +14,7 @@
 // were made for it. A Fence beyond MaxFences gets no report: it could only be
 // kept by forgetting an older one, whose entry might then start work again.
 func (l *Ledger) Fence(now time.Time, from identity.Incarnation, f *wire.Fence) {
-	if !l.fenced[f.Gone] && len(l.fenced) >= l.opt.MaxFences {
+	if !l.fenced[f.Gone] && (len(l.fenced) >= l.opt.MaxFences || len(f.Gone) > maxName) {
 		return
 	}
 	l.fenced[f.Gone] = true
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -38,6 +38,13 @@
 // above the present: each later Start would then be refused as expired.
 const MaxAhead = time.Minute
 
+// Bounds on what an entry may say. A value beyond them is a bug or an attack,
+// and would overflow a time or fill the memory.
+const (
+	maxLeftMs = 24 * 60 * 60 * 1000 // time until a deadline
+	maxName   = identity.MaxKeyLen  // bytes of an incarnation
+)
+
 // maxReported bounds the starts in one FenceReport, so that it fits a frame.
 const maxReported = 20_000
 
@@ -50,8 +57,8 @@
 	QueueBytes int           // bytes of the bodies of waiting tasks
 	Hold       time.Duration // how long an offered slot is kept for its entry
 	Retention  time.Duration // age of a birth after which a settled Ref is forgotten
-	Remembered int           // settled Refs kept at most
-	HeldBytes  int           // bytes of results kept for a resent Start or a Collect
+	Remembered int           // settled Refs kept at most; when full, Retention is cut short
+	HeldBytes  int           // bytes of results kept for a resent Start or a Collect, at most the default
 	MaxFences  int           // fences kept; a further Fence is not answered
 }
 
@@ -63,6 +70,7 @@
 	setDefault(&o.Retention, DefaultRetention)
 	setDefault(&o.Remembered, DefaultRemembered)
 	setDefault(&o.HeldBytes, DefaultHeldBytes)
+	o.HeldBytes = min(o.HeldBytes, DefaultHeldBytes)
 	setDefault(&o.MaxFences, DefaultMaxFences)
 	return o
 }
--- a/internal/ledger/memory.go
+++ b/internal/ledger/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"wigeontray/internal/errkind"
@@ -80,7 +81,7 @@
 	} else {
 		m.members[ref.Member] = ref.Member
 	}
-	r := &record{ref: ref, home: home, birthMs: birthMs, of: int32(of)}
+	r := &record{ref: ref, home: home, birthMs: birthMs, of: int32(min(of, math.MaxInt32))}
 	m.records[ref] = r
 	return r
 }
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -15,7 +15,7 @@
 
 var (
 	epoch = time.UnixMilli(1_790_000_000_000)
-	homes = []identity.Incarnation{"entry-a-1", "entry-b-1"}
+	homes = []identity.Incarnation{a, b}
 )
 
 // ticket makes a ticket with a given birth; n tells equal births apart.
@@ -215,6 +215,28 @@
 	m.loadSeq = l.Seq
 }
 
+// settle lets everything finish and every wait run out, and checks that each
+// task that comes again is then answered or run.
+func (m *model) settle() {
+	for len(m.running) > 0 {
+		m.finish(2)
+		m.observe()
+	}
+	m.now = m.now.Add(time.Minute)
+	m.l.Tick(m.now)
+	m.observe()
+	if s := m.l.Stats(); s.Running+s.Queued > 0 {
+		m.fail("left over: %+v", s)
+	}
+	for i := range min(16, len(m.jobs)) {
+		m.start(m.known(byte(i)), 255)
+		if len(m.l.actions) == 0 && len(m.l.queue) == 0 {
+			m.fail("%v got no answer", m.known(byte(i)))
+		}
+		m.observe()
+	}
+}
+
 // forget drops one record in the given state and leaves the floor as it is,
 // which is the error that the floor exists to prevent.
 func (m *model) forget(in state) {
@@ -242,6 +264,7 @@
 			sabotage(m)
 		}
 	}
+	m.settle()
 	return m
 }
 
@@ -296,6 +319,7 @@
 		for i := 0; i+1 < len(ops); i += 2 {
 			m.step(ops[i], ops[i+1])
 		}
+		m.settle()
 		if m.wrong != nil {
 			t.Fatal(m.wrong)
 		}
--- a/internal/ledger/slots.go
+++ b/internal/ledger/slots.go
@@ -40,7 +40,7 @@
 }
 
 func (l *Ledger) enqueue(now time.Time, r *record, s *wire.Start, deadline time.Time) {
-	until := now.Add(time.Duration(s.WaitMs) * time.Millisecond)
+	until := now.Add(milliseconds(s.WaitMs))
 	if until.After(deadline) {
 		until = deadline
 	}
--- a/internal/ledger/start.go
+++ b/internal/ledger/start.go
@@ -88,7 +88,7 @@
 // place runs a task on its offered slot or on a free one, else lets it wait,
 // else refuses it.
 func (l *Ledger) place(now time.Time, r *record, s *wire.Start) {
-	deadline := now.Add(time.Duration(s.LeftMs) * time.Millisecond)
+	deadline := now.Add(milliseconds(s.LeftMs))
 	switch {
 	case l.takeOffer(r.home, s.Offered), l.free() > 0:
 		l.run(r, s.Body, deadline)
@@ -99,6 +99,10 @@
 	}
 }
 
+func milliseconds(n int64) time.Duration {
+	return time.Duration(min(n, maxLeftMs)) * time.Millisecond
+}
+
 func (l *Ledger) run(r *record, body []byte, deadline time.Time) {
 	r.state = running
 	l.running++
