settings: slips by file, section and key; samples of both deployments

Cause: a key that is passed over in silence leaves a default in force that the operator believes to have changed.

Ruled out: ini.v1's defaults for continuation lines, comments behind a value and keys that stand twice, all of which change a value without a word; mapping onto structs by tags, which knows neither range nor unit.

--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -4,6 +4,10 @@
 	"bytes"
 	"encoding/hex"
 	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -160,3 +164,34 @@
 	c.Assert(string(b), qt.Equals, `{"kind":"policy","name":"a/b","retry_ratio":0.10,"schema":1,"write_id":"new"}`)
 	c.Assert(WriteID(b), qt.Equals, "new")
 }
+
+// samples reads the sample records of one member.
+func samples(t *testing.T, member string) *Snapshot {
+	files, err := filepath.Glob(filepath.Join("..", "..", "examples", member, "records", "*.json"))
+	qt.Assert(t, err, qt.IsNil)
+	var all []Raw
+	for i, file := range files {
+		b, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		p, err := Parse(b)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf(file))
+		all = append(all, raw(p.Kind, p.Name, string(b), int64(i+1)))
+	}
+	return Build(nil, all, int64(len(all)))
+}
+
+func TestSampleRecords(t *testing.T) {
+	for member, names := range map[string][2]string{
+		"ayni": {"ayni/reserva", "ayni/escort-booking"}, "leeuwin": {"leeuwin/clubcast", "leeuwin/course-wind"},
+	} {
+		c := qt.New(t)
+		s := samples(t, member)
+		c.Assert(s.Rejected(), qt.HasLen, 0)
+		c.Assert(s.Services(), qt.DeepEquals, []string{names[0]})
+		_, ok := s.Job(names[1])
+		c.Assert(ok, qt.IsTrue)
+		m, _ := s.Member(member)
+		quotas := s.PolicyFor(names[0]).Teams
+		c.Assert(slices.Sorted(maps.Keys(quotas)), qt.DeepEquals, m.Teams)
+	}
+}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -10,7 +10,9 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"time"
 )
@@ -80,6 +82,7 @@
 
 // check refuses half a pair, and plaintext that leaves the machine: tokens and
 // bookings would cross the network in the clear, and nothing would show it.
+// addrs are lists of addresses by "section.key".
 func (t *TLS) check(file string, addrs map[string][]string) error {
 	var errs []error
 	if (t.Cert == "") != (t.Key == "") {
@@ -91,10 +94,10 @@
 	if t.Enabled() || t.AllowPlaintextBeyondLoopback {
 		return errors.Join(errs...)
 	}
-	for place, list := range addrs {
+	for _, place := range slices.Sorted(maps.Keys(addrs)) {
 		section, key, _ := strings.Cut(place, ".")
-		for _, addr := range list {
-			if addr != "" && !isLoopback(addr) {
+		for _, addr := range addrs[place] {
+			if checkAddress(addr) == nil && !isLoopback(addr) {
 				errs = append(errs, &Error{File: file, Section: section, Key: key, Problem: fmt.Sprintf(
 					"%s is beyond loopback: set [tls] cert and key, or allow_plaintext_beyond_loopback = true", addr)})
 			}
