recordapi, operator: amend records over HTTP, never told a wrong outcome

Cause: operators drive the system only by records; each member sees and amends its own alone, and the answer to an amendment can be lost on either of two legs.

Ruled out: an amendment without a condition; 403 for records of others, which tells that they exist; sending an amendment again after a lost answer, as the second copy would conflict with the first. The write identity comes from the command, so that it recognises its write on reading back.

A write that met no connection is now told at once as not written (it was "unknown" after ten seconds before). A token hash that another member holds is refused.

Seen failing first against: no check of the owner, a list with others' records, members creating and deleting memberships, an empty list before any configuration was obtained, a lost answer told as a failure, a lost call told as a failure, a rival's hash accepted, a refused connection told as unknown.

--- a/internal/confsync/amend.go
+++ b/internal/confsync/amend.go
@@ -62,19 +62,40 @@
 // in the store's history of the key, and the same compare-and-swap is sent
 // again where the history shows that the first had no effect.
 func (s *Sync) Put(ctx context.Context, kind record.Kind, name string, value []byte, expect int64) (int64, error) {
-	if _, err := record.ParseAs(kind, name, value); err != nil {
+	return s.PutAs(ctx, uuid.NewString(), kind, name, value, expect)
+}
+
+// PutAs is Put with a write identity of the caller's, who then can recognise
+// the write by reading the record if the answer is lost on the way to it. An
+// identity must not be used for two writes.
+func (s *Sync) PutAs(ctx context.Context, writeID string, kind record.Kind, name string, value []byte, expect int64) (int64, error) {
+	value, err := s.prepare(writeID, kind, name, value)
+	if err != nil {
 		s.count("amend.invalid")
 		return 0, errkind.New(errkind.RecordInvalid, "%w", err)
 	}
-	id := uuid.NewString()
-	value, err := record.WithWriteID(value, id)
+	return s.amend(ctx, &change{kind: kind, name: name, value: value, expect: expect, writeID: writeID})
+}
+
+// prepare checks a record and puts the write identity into it.
+func (s *Sync) prepare(writeID string, kind record.Kind, name string, value []byte) ([]byte, error) {
+	p, err := record.ParseAs(kind, name, value)
+	if err != nil {
+		return nil, err
+	}
+	if snap := s.Current(); snap != nil && p.Member != nil {
+		if err := snap.CheckTokens(p.Member); err != nil {
+			return nil, err
+		}
+	}
+	value, err = record.WithWriteID(value, writeID)
 	if err != nil {
-		return 0, errkind.New(errkind.RecordInvalid, "%w", err)
+		return nil, err
 	}
 	if len(value) > record.MaxSize {
-		return 0, errkind.New(errkind.RecordInvalid, "%d bytes exceed %d", len(value), record.MaxSize)
+		return nil, fmt.Errorf("%d bytes exceed %d", len(value), record.MaxSize)
 	}
-	return s.amend(ctx, &change{kind: kind, name: name, value: value, expect: expect, writeID: id})
+	return value, nil
 }
 
 // Delete removes a record if its revision still is expect; outcomes are as for
@@ -110,7 +131,7 @@
 			s.count("amend.done")
 			return revision, nil
 		}
-		if errors.Is(err, store.ErrRefused) {
+		if errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrNotSent) && !sent {
 			s.count("amend.refused")
 			return 0, refused(err, sent)
 		}
@@ -141,8 +162,9 @@
 	return s.o.Store.Put(ctx, c.key(), c.value, c.expect, 0)
 }
 
-// refused answers for a store that will not do the call as it stands. That
-// rules out an effect of this attempt, but not of one sent before it.
+// refused answers for a store that cannot be reached or will not do the call as
+// it stands. That rules out an effect of this attempt, but not of one sent
+// before it.
 func refused(err error, sent bool) *errkind.Error {
 	if sent {
 		return errkind.New(errkind.StoreUnavailable, "the outcome of the amendment is not known: %w", err)
--- a/internal/confsync/amend_test.go
+++ b/internal/confsync/amend_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -301,3 +302,18 @@
 		f.Assert(errkind.Of(err), qt.Equals, errkind.StoreUnavailable)
 	})
 }
+
+// The store refuses connections. The write cannot have taken effect, and the
+// operator is told so at once, not after ten seconds and not as "unknown".
+func TestStoreThatRefusesConnections(t *testing.T) {
+	c := qt.New(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	closed.Close()
+	s := New(Options{Store: store.NewEtcd(store.Options{Endpoints: []string{"http://" + closed.Addr().String()}})})
+	start := time.Now()
+	_, err = s.Put(t.Context(), record.KindMember, "ayni", member("lima"), 0)
+	c.Assert(errkind.Of(err), qt.Equals, errkind.StoreUnavailable)
+	c.Assert(errkind.From(err).Ran, qt.Equals, errkind.RanNo)
+	c.Assert(time.Since(start) < time.Second, qt.IsTrue)
+}
--- a/internal/confsync/resolve.go
+++ b/internal/confsync/resolve.go
@@ -40,7 +40,7 @@
 		return unknown, 0, 0
 	}
 	switch {
-	case c.isIn(store.Event{KV: now}):
+	case now.ModRevision != c.expect && c.isIn(store.Event{KV: now}):
 		return tookEffect, now.ModRevision, now.ModRevision
 	case now.ModRevision == c.expect && c.expect > 0:
 		return noEffect, 0, now.ModRevision
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -145,6 +145,17 @@
 	}
 }
 
+// CheckTokens refuses a hash that another member's record holds: no request
+// would be served under it, neither the one member's nor the other's.
+func (s *Snapshot) CheckTokens(m *Member) error {
+	for _, t := range s.tokens {
+		if t.member.Name != m.Name && slices.Contains(m.Tokens, t.hash) {
+			return &FieldError{Path: "token_sha256", Problem: "a hash is in use already; make a new token"}
+		}
+	}
+	return nil
+}
+
 // HashToken gives what a member's record holds in place of a token.
 func HashToken(text string) TokenHash { return sha256.Sum256([]byte(text)) }
 
@@ -224,13 +235,18 @@
 
 // List gives the records of one member as the store holds them, sorted by key.
 func (s *Snapshot) List(member string) []Raw {
-	return s.list(func(name string) bool { return Owner(name) == member })
+	return s.list(func(_ Kind, name string) bool { return Owner(name) == member })
+}
+
+// ListKind gives the records of one kind as the store holds them, sorted.
+func (s *Snapshot) ListKind(kind Kind) []Raw {
+	return s.list(func(k Kind, _ string) bool { return k == kind })
 }
 
-func (s *Snapshot) list(want func(name string) bool) []Raw {
+func (s *Snapshot) list(want func(kind Kind, name string) bool) []Raw {
 	var out []Raw
 	for _, r := range s.raw {
-		if _, name, err := ParseKey(r.Key); err == nil && want(name) {
+		if kind, name, err := ParseKey(r.Key); err == nil && want(kind, name) {
 			out = append(out, r)
 		}
 	}
--- /dev/null
+++ b/internal/recordapi/recordapi_test.go
@@ -0,0 +1,205 @@
+package recordapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/confsync"
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/store"
+	"wigeontray/internal/store/standin"
+)
+
+// api is the handler over a running Sync; the token in a request is the name
+// of the member, or "consortium".
+type api struct {
+	*qt.C
+	handler http.Handler
+	server  *standin.Server
+}
+
+func run(t *testing.T, test func(a *api)) {
+	synctest.Test(t, func(t *testing.T) {
+		server := standin.New()
+		defer server.Close()
+		s := confsync.New(confsync.Options{Store: store.NewEtcd(store.Options{
+			Endpoints: []string{"http://store"}, Transport: &standin.Transport{Handler: server},
+		})})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = s.Run(ctx) }()
+		synctest.Wait()
+		test(&api{C: qt.New(t), server: server, handler: New(Options{Sync: s, Authenticate: authenticate})})
+	})
+}
+
+func authenticate(r *http.Request) (Principal, error) {
+	switch name := r.Header.Get("Authorization"); name {
+	case "":
+		return Principal{}, errkind.New(errkind.Unauthenticated, "no token")
+	case "consortium":
+		return Principal{Consortium: true}, nil
+	default:
+		return Principal{Member: name}, nil
+	}
+}
+
+// do sends a request; condition is the value of If-Match, or "*" to create.
+func (a *api) do(who, method, path, condition, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", who)
+	switch condition {
+	case "":
+	case "*":
+		r.Header.Set("If-None-Match", "*")
+	default:
+		r.Header.Set("If-Match", condition)
+	}
+	w := httptest.NewRecorder()
+	a.handler.ServeHTTP(w, r)
+	synctest.Wait() // for the watch to deliver an amendment
+	return w
+}
+
+func (a *api) refused(w *httptest.ResponseRecorder, kind errkind.Kind) ErrorDetail {
+	a.Helper()
+	var body ErrorBody
+	a.Assert(json.Unmarshal(w.Body.Bytes(), &body), qt.IsNil)
+	a.Assert(body.Error.Kind, qt.Equals, kind.String(), qt.Commentf("%s", w.Body))
+	a.Assert(w.Code, qt.Equals, kind.Answer().Status)
+	return body.Error
+}
+
+func (a *api) member(name string) string {
+	w := a.do("consortium", "PUT", "/v1/records/member/"+name, "*", fmt.Sprintf(`{"kind":"member","name":%q,"schema":1}`, name))
+	a.Assert(w.Code, qt.Equals, http.StatusCreated, qt.Commentf("%s", w.Body))
+	return w.Header().Get("ETag")
+}
+
+const reserva = `{"kind":"service","name":"ayni/reserva","schema":2}`
+
+func TestLifeOfARecord(t *testing.T) {
+	run(t, func(a *api) {
+		a.member("ayni")
+		path := "/v1/records/service/ayni/reserva"
+		w := a.do("ayni", "PUT", path, "*", reserva)
+		a.Assert(w.Code, qt.Equals, http.StatusCreated)
+		first := w.Header().Get("ETag")
+		w = a.do("ayni", "GET", path, "", "")
+		a.Assert(w.Header().Get("ETag"), qt.Equals, first)
+		w = a.do("ayni", "PUT", path, first, reserva)
+		a.Assert(w.Code, qt.Equals, http.StatusOK)
+		second := w.Header().Get("ETag")
+		detail := a.refused(a.do("ayni", "PUT", path, first, reserva), errkind.RecordConflict)
+		a.Assert(fmt.Sprintf("%q", fmt.Sprint(detail.Current)), qt.Equals, second)
+		a.refused(a.do("ayni", "PUT", path, "*", reserva), errkind.RecordConflict)
+		a.refused(a.do("ayni", "PUT", path, second, `{"kind":"service","name":"ayni/reserva","schema":2,"x":1}`), errkind.RecordInvalid)
+		a.Assert(a.do("ayni", "DELETE", path, second, "").Code, qt.Equals, http.StatusOK)
+		a.refused(a.do("ayni", "GET", path, "", ""), errkind.NotFound)
+	})
+}
+
+// A member guesses the names of a rival's records. It must learn nothing, not
+// even whether they exist, and amend nothing.
+func TestRecordsOfOthersAreHidden(t *testing.T) {
+	run(t, func(a *api) {
+		a.member("ayni")
+		a.member("leeuwin")
+		a.Assert(a.do("ayni", "PUT", "/v1/records/service/ayni/reserva", "*", reserva).Code, qt.Equals, http.StatusCreated)
+		there := a.do("leeuwin", "GET", "/v1/records/service/ayni/reserva", "", "")
+		absent := a.do("leeuwin", "GET", "/v1/records/service/ayni/reservb", "", "")
+		a.refused(there, errkind.NotFound)
+		a.Assert(strings.ReplaceAll(there.Body.String(), "reserva", "reservb"), qt.Equals, absent.Body.String())
+		for _, method := range []string{"PUT", "DELETE"} {
+			a.refused(a.do("leeuwin", method, "/v1/records/service/ayni/reserva", `"4"`, reserva), errkind.NotFound)
+			a.refused(a.do("leeuwin", method, "/v1/records/member/ayni", `"2"`, ""), errkind.NotFound)
+			a.refused(a.do("consortium", method, "/v1/records/service/ayni/reserva", `"4"`, reserva), errkind.NotFound)
+		}
+		list := func(who string) string {
+			var out List
+			a.Assert(json.Unmarshal(a.do(who, "GET", PathList, "", "").Body.Bytes(), &out), qt.IsNil)
+			var names []string
+			for _, r := range out.Records {
+				names = append(names, string(r.Kind)+" "+r.Name)
+			}
+			return strings.Join(names, ", ")
+		}
+		a.Assert(list("ayni"), qt.Equals, "member ayni, service ayni/reserva")
+		a.Assert(list("leeuwin"), qt.Equals, "member leeuwin")
+		a.Assert(list("consortium"), qt.Equals, "member ayni, member leeuwin")
+		a.Assert(list("nobody"), qt.Equals, "")
+	})
+}
+
+// A member changes its own tokens but tries to end or begin a membership.
+func TestMembershipIsTheConsortiums(t *testing.T) {
+	run(t, func(a *api) {
+		etag := a.member("ayni")
+		a.refused(a.do("ayni", "DELETE", "/v1/records/member/ayni", etag, ""), errkind.Forbidden)
+		a.refused(a.do("new", "PUT", "/v1/records/member/new", "*", `{"kind":"member","name":"new","schema":1}`), errkind.Forbidden)
+		w := a.do("ayni", "PUT", "/v1/records/member/ayni", etag, `{"kind":"member","name":"ayni","schema":1,"teams":["kiosks"]}`)
+		a.Assert(w.Code, qt.Equals, http.StatusOK)
+		a.Assert(a.do("consortium", "DELETE", "/v1/records/member/ayni", w.Header().Get("ETag"), "").Code, qt.Equals, http.StatusOK)
+	})
+}
+
+// A member puts the hash of a rival's token into its own record; requests with
+// that token would be nobody's from then on.
+func TestHashOfAnotherMemberIsRefused(t *testing.T) {
+	run(t, func(a *api) {
+		with := func(name string) string {
+			return fmt.Sprintf(`{"kind":"member","name":%q,"schema":1,"token_sha256":["%064d"]}`, name, 7)
+		}
+		a.Assert(a.do("consortium", "PUT", "/v1/records/member/ayni", "*", with("ayni")).Code, qt.Equals, http.StatusCreated)
+		a.refused(a.do("leeuwin", "PUT", "/v1/records/member/leeuwin", a.member("leeuwin"), with("leeuwin")), errkind.RecordInvalid)
+	})
+}
+
+// Malformed requests get an error of the closed list, and change nothing.
+func TestBadRequests(t *testing.T) {
+	run(t, func(a *api) {
+		a.member("ayni")
+		path, before := "/v1/records/service/ayni/reserva", a.server.Revision()
+		a.refused(a.do("", "GET", PathList, "", ""), errkind.Unauthenticated)
+		a.refused(a.do("ayni", "PUT", path, "", reserva), errkind.BadRequest)
+		for _, condition := range []string{"3", `"0"`, `"x"`, `W/"3"`, `"3", "4"`, `"-1"`} {
+			a.refused(a.do("ayni", "PUT", path, condition, reserva), errkind.BadRequest)
+		}
+		a.refused(a.do("ayni", "GET", "/v1/records/upstream/ayni/x", "", ""), errkind.BadRequest)
+		a.refused(a.do("ayni", "GET", "/v1/records/service/ayni", "", ""), errkind.BadRequest)
+		a.refused(a.do("ayni", "PUT", path, "*", strings.Repeat("x", 1<<17)), errkind.TooLarge)
+		a.refused(a.do("ayni", "PUT", path, "*", "{"), errkind.RecordInvalid)
+		a.Assert(a.server.Revision(), qt.Equals, before)
+	})
+}
+
+// The store is down. Reading goes on from the snapshot; an amendment is
+// answered with what is known of it.
+func TestStoreOutage(t *testing.T) {
+	run(t, func(a *api) {
+		etag := a.member("ayni")
+		a.server.SetDown(true)
+		a.Assert(a.do("ayni", "GET", "/v1/records/member/ayni", "", "").Header().Get("ETag"), qt.Equals, etag)
+		detail := a.refused(a.do("ayni", "PUT", "/v1/records/member/ayni", etag, `{"kind":"member","name":"ayni","schema":1}`), errkind.StoreUnavailable)
+		a.Assert(detail.Ran, qt.Equals, "unknown")
+	})
+}
+
+// An entry that has obtained no configuration yet must not list it as empty.
+func TestNotReady(t *testing.T) {
+	c := qt.New(t)
+	a := &api{C: c, handler: New(Options{Sync: confsync.New(confsync.Options{}), Authenticate: authenticate})}
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest("GET", PathList, nil)
+	r.Header.Set("Authorization", "ayni")
+	a.handler.ServeHTTP(w, r)
+	a.refused(w, errkind.StoreUnavailable)
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -124,3 +124,10 @@
 		}
 	}
 }
+
+// IsGuard tells whether a file is meant for a guard: it has a section that only
+// guards have. It says nothing about whether the file is valid.
+func IsGuard(file string) bool {
+	parsed, err := ini.LoadSources(iniOptions, file)
+	return err == nil && (parsed.HasSection("upstream") || parsed.HasSection("entries"))
+}
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -9,6 +9,10 @@
 // stands, for instance because a value is too large. Nothing was written.
 var ErrRefused = errors.New("store refused the call")
 
+// ErrNotSent is an ErrUnavailable that proves that no service saw the call:
+// nothing was written, and nothing will be.
+var ErrNotSent = fmt.Errorf("%w: nothing was sent", ErrUnavailable)
+
 // ConflictError is an ErrConflict that tells what stands in the key's place.
 type ConflictError struct {
 	// Current is the key as the service holds it; ModRevision is 0 when the
--- a/internal/store/etcd.go
+++ b/internal/store/etcd.go
@@ -216,10 +216,15 @@
 	return e.try(ctx, method, path, req, resp, neverSent)
 }
 
-// neverSent tells whether err proves that the service saw nothing of the call.
-func neverSent(err error) bool {
-	op, ok := errors.AsType[*net.OpError](err)
-	return ok && op.Op == "dial"
+func neverSent(err error) bool { return errors.Is(err, ErrNotSent) }
+
+// sendError sorts a failure of the transport: without a connection nothing was
+// sent.
+func sendError(err error) error {
+	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
+		return ErrNotSent
+	}
+	return ErrUnavailable
 }
 
 func (e *Etcd) try(ctx context.Context, method, path string, req, resp any, again func(error) bool) error {
@@ -227,7 +232,7 @@
 	if err != nil {
 		return fmt.Errorf("store %s: %w", method, err)
 	}
-	err = ErrUnavailable // for a client without endpoints
+	err = ErrNotSent // for a client without endpoints
 	first := int(e.preferred.Load())
 	for i := range e.endpoints {
 		at := (first + i) % len(e.endpoints)
@@ -277,7 +282,7 @@
 // post sends one request, and turns an answer other than 200 into an error.
 func (e *Etcd) post(ctx context.Context, method, url string, body []byte) (*http.Response, error) {
 	if err := e.limit.Wait(ctx); err != nil {
-		return nil, fmt.Errorf("%w: rate of calls: %w", ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: rate of calls: %w", ErrNotSent, err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -292,7 +297,7 @@
 	resp, err := e.client.Do(req)
 	if err != nil {
 		e.count(method, "failed")
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", sendError(err), err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
