--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,8 +46,9 @@
 	Resolve(member string, s *submission) (service string, limits ServiceLimits, err *errkind.Error)
 	// Policy gives the policy of a service.
 	Policy(service string) dispatch.Policy
-	// Subscribe calls f after each new snapshot, one call at a time.
-	Subscribe(f func())
+	// Watch calls f after each change of the snapshot, one call at a time, until
+	// ctx ends.
+	Watch(ctx context.Context, f func())
 }
 
 // Options configures a Server. Zero limits take defaults.
@@ -67,6 +68,8 @@
 	Log         *log.Logger
 	// Records serves the operators' record API, if set.
 	Records http.Handler
+	// OnConfig is called after a new snapshot is in force here, if set.
+	OnConfig func()
 }
 
 // Defaults of Options.
@@ -101,12 +104,15 @@
 	links    *linkTable
 	lanes    sync.Map // service to *lane; written once a service
 	laneMu   sync.Mutex
-	metrics  *telemetry.Registry
-	log      *log.Logger
-	traffic  *wire.Traffic
-	stopping atomic.Bool // fresh jobs are refused
-	leaving  atomic.Bool // not ready, but still serving
-	waiters  atomic.Int64
+	// announceMu keeps a guard's return and the decision to give up on it apart.
+	// Lock order: announceMu, then the router's own, then those of links and lanes.
+	announceMu sync.Mutex
+	metrics    *telemetry.Registry
+	log        *log.Logger
+	traffic    *wire.Traffic
+	stopping   atomic.Bool // fresh jobs are refused
+	leaving    atomic.Bool // not ready, but still serving
+	waiters    atomic.Int64
 
 	ctx context.Context // ends with Close
 	end context.CancelFunc
@@ -122,7 +128,7 @@
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.readFigures()
-	s.config.Subscribe(s.configChanged)
+	go s.config.Watch(s.ctx, s.configChanged)
 	return s
 }
 
@@ -135,6 +141,8 @@
 	m.ReadCounter(telemetry.BytesIn, s.traffic.BytesIn.Load)
 	m.ReadGauge(telemetry.Waiters, s.waiters.Load)
 	m.ReadGauge(telemetry.ConfigRevision, func() int64 { return s.config.Revision() })
+	m.ReadGauge(telemetry.Peers, func() int64 { return int64(len(s.router.Roster().Linked)) })
+	m.ReadGauge(telemetry.RosterVersion, func() int64 { return s.router.Roster().Version })
 	m.ReadGauge(telemetry.Guards, func() int64 { return int64(len(s.links.all())) })
 	m.ReadGauge(telemetry.JobsHeld, func() int64 { held, _ := s.registry.Count(); return int64(held) })
 	m.ReadGauge(telemetry.JobsOpen, func() int64 { _, open := s.registry.Count(); return int64(open) })
@@ -156,7 +164,7 @@
 	if l, ok := s.lanes.Load(service); ok {
 		return l.(*lane)
 	}
-	l := newLane(service, dispatch.New(service, s.policy(service), s.opts.Seed), s.finish)
+	l := newLane(service, s.id, dispatch.New(service, s.policy(service), s.opts.Seed), s.finish)
 	s.lanes.Store(service, l)
 	return l
 }
@@ -184,6 +192,9 @@
 		s.metrics.Inc(telemetry.ConfigsApplied)
 		s.log.Info("configuration in force", "revision", c.Revision)
 	}
+	if s.opts.OnConfig != nil {
+		s.opts.OnConfig()
+	}
 }
 
 // Reconfigure applies the policies again, after the configuration or the number
@@ -239,3 +250,10 @@
 
 // InnerHandler serves the guards' end of the inner protocol.
 func (s *Server) InnerHandler() http.Handler { return http.HandlerFunc(s.serveGuard) }
+
+// Usable counts the guards that tasks may be sent to.
+func (s *Server) Usable() int {
+	n := 0
+	s.eachLane(func(l *lane) { n += len(l.guards()) })
+	return n
+}
