--- a/internal/peers/fake_test.go
+++ b/internal/peers/fake_test.go
@@ -13,7 +13,6 @@
 
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
-	"wigeontray/internal/recovery"
 	"wigeontray/internal/store"
 	"wigeontray/internal/wire"
 	"wigeontray/internal/wire/wiretest"
@@ -363,11 +362,6 @@
 	}
 }
 
-func job(home identity.Incarnation) recovery.Job {
-	k := identity.NewTicket(home, time.Now())
-	return recovery.Job{Member: "ayni", Key: k.Text, BirthMs: k.BirthMs, Home: home}
-}
-
 func kindOf(err *errkind.Error) errkind.Kind {
 	if err == nil {
 		return errkind.None
--- a/internal/peers/guards.go
+++ b/internal/peers/guards.go
@@ -44,8 +44,14 @@
 }
 
 // Recover finds out what became of a job whose owner cannot be reached. It
-// returns at ctx's deadline at the latest.
-func (p *Peers) Recover(ctx context.Context, j recovery.Job) recovery.Finding {
+// returns at ctx's deadline at the latest. The verdict is Later while it is not
+// final who owns the key.
+func (p *Peers) Recover(ctx context.Context, member string, key identity.Key) recovery.Finding {
+	owner, final := p.View().FinalOwner(member, key)
+	j := recovery.Job{Member: member, Key: key.Text, BirthMs: key.BirthMs, Home: owner}
+	if !final || owner == p.opt.Self.Incarnation {
+		return recovery.Finding{Job: j, Verdict: recovery.Later}
+	}
 	ch := make(chan recovery.Finding, 1)
 	p.do(func(now time.Time) {
 		deadline, ok := ctx.Deadline()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -177,13 +177,13 @@
 		}
 		rest(time.Second)
 		n.c.Assert(n.entries["b"].ready, qt.HasLen, 2)
-		j := job("b")
+		ticket := identity.NewTicket("b", time.Now())
 		n.kill("b")
 		rest(30 * time.Second)
 		n.entries["a"].reportAll("b")
 		ctx, cancel := context.WithTimeout(n.ctx, 5*time.Second)
 		defer cancel()
-		n.c.Assert(n.entries["a"].Recover(ctx, j).Verdict, qt.Equals, recovery.NotRun)
+		n.c.Assert(n.entries["a"].Recover(ctx, "ayni", ticket).Verdict, qt.Equals, recovery.NotRun)
 	})
 }
 
--- a/internal/roster/machine_test.go
+++ b/internal/roster/machine_test.go
@@ -23,7 +23,7 @@
 	for i := range 8 {
 		k.UUID[8+i] = byte(n >> (8 * i))
 	}
-	k.UUID[8] = k.UUID[8]&0x3f | 0x80
+	k.UUID[6], k.UUID[7], k.UUID[8] = 0x70, 0, k.UUID[8]&0x3f|0x80 // version and variant
 	text := uuid.UUID(k.UUID).String()
 	k, err := identity.Parse(text)
 	if err != nil {
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -59,6 +59,22 @@
 	return v.owner(i, member, key), v.versions[i].Version, true
 }
 
+// FinalOwner is Owner where no later roster can change the answer: for a ticket,
+// in a closed version, and for this entry's own births below the horizon.
+//
+// Near the end of the last version a key's owner may be declared gone by a
+// roster that begins below the birth and gives it to somebody else. Whoever took
+// the first owner for final would prove "not run" about a key that the second
+// one starts.
+func (v *View) FinalOwner(member string, key identity.Key) (owner identity.Incarnation, ok bool) {
+	owner, version, ok := v.Owner(member, key)
+	if !ok || key.Home != "" {
+		return owner, ok
+	}
+	last, _ := v.Last()
+	return owner, version < last.Version || owner == v.self && key.BirthMs < v.horizonMs
+}
+
 // find gives the index of the version whose interval holds birthMs, or -1.
 func (v *View) find(birthMs int64) int {
 	for i := len(v.versions) - 1; i >= 0; i-- {
