peers: measured cost and refusals; recovery: failed tasks, final owners

Cause, found while reading the wiring: a recovered job whose tasks all had results counted as whole even if one of them had failed at its upstream, so its caller would have got an empty answer marked as good. Collected did not say how many tasks the job has, and a fence asked for a guard's whole memory.

Change: such a job has failed, with the kind of the failed task. Collected carries the number of tasks and a report begins at the fence's SinceMs. The router no longer says who it thinks the owner is, as only the roster knows when that is final.

Tests of peers run against the store's stand-in in place of one of their own.

--- a/internal/entry/peerrouter.go
+++ b/internal/entry/peerrouter.go
@@ -73,9 +73,10 @@
 	return out
 }
 
-// Recover implements Router.
-func (r *PeerRouter) Recover(ctx context.Context, home identity.Incarnation, member string, key identity.Key) *Recovered {
-	f := r.Peers.Recover(ctx, recovery.Job{Member: member, Key: key.Text, BirthMs: key.BirthMs, Home: home})
+// Recover implements Router. The home that was tried may not be the key's final
+// owner, so the roster is asked again.
+func (r *PeerRouter) Recover(ctx context.Context, _ identity.Incarnation, member string, key identity.Key) *Recovered {
+	f := r.Peers.Recover(ctx, member, key)
 	if f.Verdict != recovery.Whole {
 		return &Recovered{Err: f.Err()}
 	}
--- a/internal/ledger/fence.go
+++ b/internal/ledger/fence.go
@@ -24,7 +24,7 @@
 	}
 	l.refuseHome(now, f.Gone)
 	l.assign(now)
-	l.send(from, &wire.Frame{FenceReport: l.report(f.Gone)})
+	l.send(from, &wire.Frame{FenceReport: l.report(f.Gone, f.SinceMs)})
 }
 
 // refuseHome refuses the waiting tasks of a fenced entry.
@@ -37,18 +37,19 @@
 	}
 }
 
-// report lists the starts for one home. Births before the guard itself began
+// report lists the starts for one home of identities born from sinceMs on, since
+// a whole memory from every guard would swamp the entry. Births before the guard itself began
 // lie below the reported floor: a predecessor on the same worker may have
 // started them, and this guard would not know.
-func (l *Ledger) report(home identity.Incarnation) *wire.FenceReport {
+func (l *Ledger) report(home identity.Incarnation, sinceMs int64) *wire.FenceReport {
 	var started []*record
 	for _, r := range l.memory.records {
-		if r.home == home && r.started() {
+		if r.home == home && r.started() && r.birthMs >= sinceMs {
 			started = append(started, r)
 		}
 	}
 	slices.SortFunc(started, newestFirst)
-	floor := max(l.memory.floorMs, l.bornMs)
+	floor := max(l.memory.floorMs, l.bornMs, sinceMs)
 	if len(started) > maxReported {
 		// What does not fit a frame is the same to the reader as forgotten.
 		floor = max(floor, started[maxReported].birthMs+1)
@@ -73,6 +74,7 @@
 	for _, r := range l.memory.held {
 		if r.result != nil && r.ref.Member == c.Member && r.ref.Key == c.Key {
 			out.Results = append(out.Results, *r.result)
+			out.Of = int(r.of)
 		}
 	}
 	slices.SortFunc(out.Results, func(a, b wire.Result) int { return cmp.Compare(a.Ref.Task, b.Ref.Task) })
--- a/internal/peers/fake_test.go
+++ b/internal/peers/fake_test.go
@@ -4,8 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,230 +15,57 @@
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/store"
+	"wigeontray/internal/store/etcdjson"
+	"wigeontray/internal/store/standin"
 	"wigeontray/internal/wire"
 	"wigeontray/internal/wire/wiretest"
 )
 
-// memStore is a store in memory under the fake clock: leases, compare-and-swap
-// and watches, and no fault of its own.
-type memStore struct {
-	mu       sync.Mutex
-	revision int64
-	kvs      map[string]store.KV
-	leaseOf  map[string]store.LeaseID
-	ends     map[store.LeaseID]time.Time
-	ttl      map[store.LeaseID]time.Duration
-	log      []store.Event
-	changed  chan struct{}
-}
-
-func newMemStore() *memStore {
-	return &memStore{
-		kvs: make(map[string]store.KV), leaseOf: make(map[string]store.LeaseID),
-		ends: make(map[store.LeaseID]time.Time), ttl: make(map[store.LeaseID]time.Duration),
-		changed: make(chan struct{}),
-	}
-}
-
-func (s *memStore) record(e store.Event) {
-	s.log = append(s.log, e)
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// expire drops the keys of leases that have ended. The caller holds mu.
-func (s *memStore) expire() {
-	for id, end := range s.ends {
-		if !time.Now().Before(end) {
-			delete(s.ends, id)
-			for key, lease := range s.leaseOf {
-				if lease == id {
-					s.remove(key)
-				}
-			}
-		}
-	}
-}
-
-func (s *memStore) remove(key string) {
-	s.revision++
-	delete(s.kvs, key)
-	delete(s.leaseOf, key)
-	s.record(store.Event{KV: store.KV{Key: key, ModRevision: s.revision}, Deleted: true})
-}
-
-func (s *memStore) Range(_ context.Context, prefix string) (out []store.KV, _ int64, _ error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire()
-	for key, kv := range s.kvs {
-		if strings.HasPrefix(key, prefix) {
-			out = append(out, kv)
-		}
-	}
-	return out, s.revision, nil
-}
-
-func (s *memStore) Put(_ context.Context, key string, value []byte, expect int64, lease store.LeaseID) (int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire()
-	if s.kvs[key].ModRevision != expect {
-		return 0, store.ErrConflict
-	}
-	s.revision++
-	kv := store.KV{Key: key, Value: value, ModRevision: s.revision}
-	s.kvs[key] = kv
-	if lease != 0 {
-		s.leaseOf[key] = lease
-	}
-	s.record(store.Event{KV: kv})
-	return s.revision, nil
-}
-
-func (s *memStore) Delete(context.Context, string, int64) (int64, error) {
-	return 0, errors.New("not used")
-}
-
-func (s *memStore) Watch(ctx context.Context, prefix string, revision int64, out chan<- store.Batch) error {
-	defer close(out)
-	for {
-		s.mu.Lock()
-		s.expire()
-		b, changed := store.Batch{Revision: s.revision}, s.changed
-		for _, e := range s.log {
-			if e.ModRevision > revision && strings.HasPrefix(e.Key, prefix) {
-				b.Events = append(b.Events, e)
-			}
-		}
-		s.mu.Unlock()
-		if len(b.Events) > 0 {
-			select {
-			case out <- b:
-			case <-ctx.Done():
-				return ctx.Err()
-			}
-		}
-		revision = b.Revision
-		select {
-		case <-changed:
-		case <-time.After(100 * time.Millisecond): // leases end without a call
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-func (s *memStore) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	id := store.LeaseID(len(s.ttl) + 1)
-	s.ttl[id], s.ends[id] = ttl, time.Now().Add(ttl)
-	return id, nil
-}
-
-func (s *memStore) KeepAlive(_ context.Context, id store.LeaseID) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire()
-	if _, ok := s.ends[id]; !ok {
-		return store.ErrLeaseGone
-	}
-	s.ends[id] = time.Now().Add(s.ttl[id])
-	return nil
-}
-
-func (s *memStore) Revoke(_ context.Context, id store.LeaseID) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ends[id] = time.Now()
-	s.expire()
-	return nil
-}
-
-// cutStore is one entry's way to the store, which can be cut.
-type cutStore struct {
-	*memStore
-	n *network
-	e *entry
-}
-
-func (s cutStore) err() error {
-	if s.n.storeDown.Load() || s.e.cut.Load() {
-		return store.ErrUnavailable
-	}
-	return nil
-}
-
-func (s cutStore) Range(ctx context.Context, prefix string) ([]store.KV, int64, error) {
-	if err := s.err(); err != nil {
-		return nil, 0, err
-	}
-	return s.memStore.Range(ctx, prefix)
-}
-
-func (s cutStore) Put(ctx context.Context, key string, v []byte, expect int64, l store.LeaseID) (int64, error) {
-	if err := s.err(); err != nil {
-		return 0, err
-	}
-	return s.memStore.Put(ctx, key, v, expect, l)
-}
-
-func (s cutStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-	if err := s.err(); err != nil {
-		return 0, err
-	}
-	return s.memStore.Grant(ctx, ttl)
-}
-
-func (s cutStore) KeepAlive(ctx context.Context, id store.LeaseID) error {
-	if err := s.err(); err != nil {
-		return err
-	}
-	return s.memStore.KeepAlive(ctx, id)
+// way is one entry's way to the store, which can be cut.
+type way struct {
+	http.RoundTripper
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
-func (s cutStore) Revoke(ctx context.Context, id store.LeaseID) error {
-	if err := s.err(); err != nil {
-		return err
+// RoundTrip fails while the way is cut, and when it is cut meanwhile.
+func (w *way) RoundTrip(r *http.Request) (*http.Response, error) {
+	w.mu.Lock()
+	cut := w.ctx
+	w.mu.Unlock()
+	if cut.Err() != nil {
+		return nil, errCut
 	}
-	return s.memStore.Revoke(ctx, id)
+	ctx, cancel := context.WithCancel(r.Context())
+	context.AfterFunc(cut, cancel)
+	return w.RoundTripper.RoundTrip(r.WithContext(ctx))
 }
 
-func (s cutStore) Watch(ctx context.Context, prefix string, r int64, out chan<- store.Batch) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		for s.err() == nil && pause(ctx, 100*time.Millisecond) {
-		}
-		cancel()
-	}()
-	return s.memStore.Watch(ctx, prefix, r, out)
+func (w *way) open(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ctx, w.cancel = context.WithCancel(ctx)
 }
 
 // network holds the entries of one region.
 type network struct {
-	c         *qt.C
-	ctx       context.Context
-	store     *memStore
-	storeDown flag
-	mu        sync.Mutex // guards entries against dials while one is started
-	entries   map[identity.Incarnation]*entry
-	wg        sync.WaitGroup
-}
-
-type flag struct {
-	mu sync.Mutex
-	v  bool
+	c       *qt.C
+	ctx     context.Context
+	store   *standin.Server
+	mu      sync.Mutex // guards entries against dials while one is started
+	entries map[identity.Incarnation]*entry
+	wg      sync.WaitGroup
+	frames  atomic.Int64
+	bytes   atomic.Int64
 }
 
-func (f *flag) Load() bool   { f.mu.Lock(); defer f.mu.Unlock(); return f.v }
-func (f *flag) Store(v bool) { f.mu.Lock(); defer f.mu.Unlock(); f.v = v }
-
 // entry is one Peers with what its hooks saw.
 type entry struct {
 	*Peers
-	cut    flag // no link and no store
+	cut    atomic.Bool // no link can be made
+	frozen atomic.Bool // sends nothing, though its links stay open
+	way    way
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	ready  []identity.Incarnation
@@ -250,7 +78,7 @@
 var errCut = errors.New("cut")
 
 func newNetwork(t *testing.T, ctx context.Context, names ...identity.Incarnation) *network {
-	n := &network{c: qt.New(t), ctx: ctx, store: newMemStore(), entries: make(map[identity.Incarnation]*entry)}
+	n := &network{c: qt.New(t), ctx: ctx, store: standin.New(), entries: make(map[identity.Incarnation]*entry)}
 	for _, name := range names {
 		n.start(name)
 	}
@@ -261,10 +89,13 @@
 	e := &entry{}
 	ctx, cancel := context.WithCancel(n.ctx)
 	e.cancel = cancel
+	e.way.RoundTripper = &standin.Transport{Handler: n.store}
+	e.way.open(n.ctx)
 	e.Peers = New(Options{
 		Self:   wire.EntryAddr{Incarnation: name, Inner: string(name)},
-		Region: "lima", Store: cutStore{n.store, n, e}, Seeds: seeds,
-		Dial: func(ctx context.Context, to wire.EntryAddr) (wire.Link, error) { return n.dial(e, to) },
+		Region: "lima", Seeds: seeds,
+		Store: store.NewEtcd(store.Options{Endpoints: []string{"http://store"}, Transport: &e.way}),
+		Dial:  func(ctx context.Context, to wire.EntryAddr) (wire.Link, error) { return n.dial(e, to) },
 		OnForward: func(_ context.Context, from identity.Incarnation, f *wire.Forward) *wire.Forwarded {
 			return &wire.Forwarded{Status: 200, Body: fmt.Appendf(nil, "%s for %s at %s", f.Key, from, name)}
 		},
@@ -299,25 +130,60 @@
 		return nil, errCut
 	}
 	a, b := wiretest.Pipe()
+	a.Drop = func(f *wire.Frame) bool { return n.tally(f) || from.frozen.Load() }
+	b.Drop = func(f *wire.Frame) bool { return n.tally(f) || target.frozen.Load() }
 	n.wg.Go(func() { target.Accept(n.ctx, b) })
 	return a, nil
 }
 
+// calls counts what the entries asked of the store.
+func (n *network) calls() (sum int) {
+	for _, path := range []string{
+		etcdjson.PathRange, etcdjson.PathTxn, etcdjson.PathGrant, etcdjson.PathKeepAlive, etcdjson.PathWatch,
+	} {
+		sum += n.store.Calls(path)
+	}
+	return sum
+}
+
+// tally counts a frame and drops none.
+func (n *network) tally(f *wire.Frame) bool {
+	b, _ := wire.Encode(f)
+	n.frames.Add(1)
+	n.bytes.Add(int64(len(b)))
+	return false
+}
+
 // kill cuts an entry off from everything at once. To the others it is dead; it
 // goes on by itself, as a paused or cut-off process might later.
 func (n *network) kill(name identity.Incarnation) {
 	e := n.entries[name]
 	e.cut.Store(true)
+	e.way.cancel()
 	for _, l := range *e.links.Load() {
 		l.link.Close("cut")
 	}
 }
 
+// freeze stops an entry without closing its links.
+func (n *network) freeze(name identity.Incarnation) {
+	n.entries[name].frozen.Store(true)
+	n.entries[name].cut.Store(true)
+	n.entries[name].way.cancel()
+}
+
+// wake ends the cut.
+func (n *network) wake(name identity.Incarnation) {
+	n.entries[name].cut.Store(false)
+	n.entries[name].way.open(n.ctx)
+}
+
 func (n *network) stop() {
 	for _, e := range n.entries {
 		e.cancel()
 	}
 	n.wg.Wait()
+	n.store.Close()
 }
 
 // starters counts which entries may start n keys that are born now.
@@ -336,6 +202,13 @@
 	return out
 }
 
+// startersBut leaves out an entry that callers cannot reach.
+func (n *network) startersBut(lost identity.Incarnation, count uint64) map[identity.Incarnation]int {
+	out := n.starters(count)
+	delete(out, lost)
+	return out
+}
+
 func total(m map[identity.Incarnation]int) (n int) {
 	for _, k := range m {
 		n += k
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -95,7 +95,7 @@
 	inNetwork(t, func(n *network) {
 		n.kill("b")
 		rest(30 * time.Second)
-		n.entries["b"].cut.Store(false)
+		n.wake("b")
 		rest(10 * time.Second)
 		n.c.Assert(n.entries["b"].fenced, qt.IsTrue)
 		n.c.Assert(kindOf(n.entries["b"].MayStart("ayni", plainKey(n.c, 1))), qt.Equals, errkind.Fenced)
@@ -107,10 +107,10 @@
 // notice nothing.
 func TestStoreOutageWithLapsedLeases(t *testing.T) {
 	inNetwork(t, func(n *network) {
-		n.storeDown.Store(true)
+		n.store.SetDown(true)
 		rest(30 * time.Minute)
 		n.c.Assert(total(n.starters(100)), qt.Equals, 100)
-		n.storeDown.Store(false)
+		n.store.SetDown(false)
 		rest(30 * time.Second)
 		n.c.Assert(total(n.starters(100)), qt.Equals, 100)
 		for _, e := range n.entries {
@@ -124,12 +124,12 @@
 // back and nothing started; tickets go on.
 func TestStoreDownAndEntryDead(t *testing.T) {
 	inNetwork(t, func(n *network) {
-		n.storeDown.Store(true)
+		n.store.SetDown(true)
 		n.kill("b")
 		rest(20 * time.Second)
 		n.c.Assert(total(n.starters(100)), qt.Equals, 0)
 		n.c.Assert(n.entries["a"].MayStart("ayni", identity.NewTicket("a", time.Now())) == nil, qt.IsTrue)
-		n.storeDown.Store(false)
+		n.store.SetDown(false)
 		rest(20 * time.Second)
 		n.c.Assert(total(n.starters(100)), qt.Equals, 100)
 	})
@@ -140,7 +140,7 @@
 func TestEntryStartedDuringStoreOutage(t *testing.T) {
 	inNetwork(t, func(n *network) {
 		n.entries["a"].note(func() { n.entries["a"].config = 7 })
-		n.storeDown.Store(true)
+		n.store.SetDown(true)
 		d := n.start("d", "a", "b", "c")
 		rest(10 * time.Second)
 		n.c.Assert(d.Peers.Peers(), qt.HasLen, 3)
@@ -217,3 +217,92 @@
 		n.c.Assert(n.entries["a"].Peers.Peers(), qt.HasLen, 2)
 	})
 }
+
+// The store loses answers to writes that took effect, and answers from the past,
+// while an entry joins. Nobody may start what another may, and all ends well.
+func TestJoinWithLostAndStaleAnswers(t *testing.T) {
+	inNetwork(t, func(n *network) {
+		past := n.store.Revision()
+		n.store.LoseAnswers(12)
+		n.start("d")
+		for i := range 40 {
+			rest(time.Second)
+			n.starters(40)
+			if i == 5 {
+				n.store.AnswerFrom(past)
+			}
+			if i == 15 {
+				n.store.AnswerFrom(0)
+			}
+		}
+		rest(settle)
+		got := n.starters(300)
+		n.c.Assert(total(got), qt.Equals, 300)
+		n.c.Assert(got["d"] > 0, qt.IsTrue)
+	})
+}
+
+// Promises, announcements and the store's calls are overhead that every entry
+// pays without a single request. At eight entries it must stay within a small
+// part of the 7 KB/s that a node may spend on control.
+func TestIdleCostAtEightEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, t.Context(), "a", "b", "c", "d", "e", "f", "g", "h")
+		rest(2 * settle)
+		n.c.Assert(total(n.starters(300)), qt.Equals, 300)
+		const minutes = 10
+		frames, bytes := n.frames.Load(), n.bytes.Load()
+		calls := n.calls()
+		rest(minutes * time.Minute)
+		perEntry := float64(8 * minutes * 60)
+		out := float64(n.frames.Load()-frames) / perEntry
+		size := float64(n.bytes.Load()-bytes) / perEntry
+		perMinute := float64(n.calls()-calls) / (8 * minutes)
+		t.Logf("each entry sends %.2f frames/s, %.0f bytes/s of payload, and makes %.1f store calls a minute", out, size, perMinute)
+		n.c.Assert(out <= 7.1, qt.IsTrue)
+		n.c.Assert(size <= 200, qt.IsTrue)
+		n.c.Assert(perMinute <= 35, qt.IsTrue)
+		n.stop()
+	})
+}
+
+// An entry is killed or frozen. How long callers are refused is what they notice
+// of it: nothing starts once the horizon is used up, and what the lost entry
+// owns is refused until a roster without it begins.
+func TestRefusalsAfterALoss(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		lose         func(n *network)
+		all, partial time.Duration // bounds
+	}{
+		{"killed", func(n *network) { n.kill("b") }, 2 * time.Second, 10 * time.Second},
+		{"frozen", func(n *network) { n.freeze("b") }, 4 * time.Second, 13 * time.Second},
+		{"killed while the store is down for 20 s", func(n *network) {
+			n.store.SetDown(true)
+			n.kill("b")
+			time.AfterFunc(20*time.Second, func() { n.store.SetDown(false) })
+		}, 19 * time.Second, 27 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inNetwork(t, func(n *network) {
+				tc.lose(n)
+				var all, partial time.Duration
+				const sample = 250 * time.Millisecond
+				for range 240 {
+					rest(sample)
+					switch started := total(n.startersBut("b", 100)); {
+					case started == 0:
+						all += sample
+						fallthrough
+					case started < 100:
+						partial += sample
+					}
+				}
+				t.Logf("every plain identity refused for %v, some for %v", all, partial)
+				n.c.Check(all <= tc.all, qt.IsTrue)
+				n.c.Check(partial <= tc.partial, qt.IsTrue)
+				n.c.Check(total(n.startersBut("b", 100)), qt.Equals, 100)
+			})
+		})
+	}
+}
--- a/internal/recovery/machine.go
+++ b/internal/recovery/machine.go
@@ -40,6 +40,16 @@
 	held  bool // a question waits for the budget
 }
 
+// failure gives the first result of a task that ran badly, or nil.
+func (r *recovery) failure() *wire.Result {
+	for _, task := range slices.Sorted(maps.Keys(r.results)) {
+		if res := r.results[task]; res.Kind != errkind.None {
+			return &res
+		}
+	}
+	return nil
+}
+
 // NewMachine returns the machine of the entry self.
 func NewMachine(self identity.Incarnation, opt Options) *Machine {
 	return &Machine{
@@ -239,6 +249,9 @@
 func (m *Machine) verdict(now time.Time, r *recovery, h *home, p proof) Verdict {
 	switch {
 	case r.of > 0 && len(r.results) == r.of:
+		if r.failure() != nil {
+			return Failed
+		}
 		return Whole
 	case h.gone.IsZero():
 		return m.undeclared(now, r)
@@ -369,10 +382,13 @@
 
 func (m *Machine) finish(j Job, v Verdict, r *recovery) {
 	f := &Finding{Job: j, Verdict: v}
-	if v == Whole {
+	switch v {
+	case Whole:
 		for task := range r.of {
 			f.Results = append(f.Results, r.results[task])
 		}
+	case Failed:
+		f.Failure = r.failure()
 	}
 	m.actions = append(m.actions, Action{Finding: f})
 }
--- a/internal/recovery/machine_test.go
+++ b/internal/recovery/machine_test.go
@@ -123,6 +123,25 @@
 	f.c.Assert(f.verdict(0), qt.Equals, Failed)
 }
 
+// An entry is killed after both tasks started, and one of them failed at its
+// upstream. All results are there, but the job's answer must be marked failed
+// and not pass for a whole one.
+func TestFailedTaskFailsTheJob(t *testing.T) {
+	f := newFixture(t)
+	f.die()
+	f.recover()
+	f.report(g1, 0, 1)
+	f.report(g2)
+	f.collected(g1, 0)
+	f.m.Collected(f.now, g1, &wire.Collected{Member: "ayni", Key: "k", Results: []wire.Result{
+		{Ref: wire.Ref{Task: 1}, Kind: errkind.UpstreamFailed, Ran: errkind.RanYes},
+	}})
+	found := f.m.Actions()
+	last := found[len(found)-1].Finding
+	f.c.Assert(last.Verdict, qt.Equals, Failed)
+	f.c.Assert(last.Err().Kind, qt.Equals, errkind.UpstreamFailed)
+}
+
 // An entry and a guard die together, as with the switch of a rack. The guard may
 // have started the booking, so nobody can say "not run".
 func TestLostGuardLeavesTheOutcomeUnknown(t *testing.T) {
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -72,11 +72,11 @@
 const (
 	// Wait: no verdict yet.
 	Wait Verdict = iota
-	// Whole: guards hold the results of all tasks.
+	// Whole: guards hold the results of all tasks, and all ran well.
 	Whole
 	// NotRun: no task of the job ever ran or ever will.
 	NotRun
-	// Failed: some tasks ran and the others never will.
+	// Failed: some tasks ran and the others failed or never will run.
 	Failed
 	// Unknown: it cannot be known, now or later.
 	Unknown
@@ -98,11 +98,13 @@
 }
 
 // Finding is the end of a recovery. Results has one result a task, in order,
-// when the verdict is Whole, and is nil otherwise.
+// when the verdict is Whole, and is nil otherwise. Failure is the result of a
+// task that ran badly, if that is why the verdict is Failed.
 type Finding struct {
 	Job     Job
 	Verdict Verdict
 	Results []wire.Result
+	Failure *wire.Result
 }
 
 // Err gives the answer to the caller; nil for Whole.
@@ -113,6 +115,9 @@
 	case NotRun:
 		return errkind.New(errkind.NotRun, "%s is gone; every guard that it used has reported", f.Job.Home)
 	case Failed:
+		if f.Failure != nil {
+			return errkind.New(f.Failure.Kind, "task %d: %s", f.Failure.Ref.Task, f.Failure.Detail).WithRan(f.Failure.Ran)
+		}
 		return errkind.New(errkind.WorkerLost, "%s is gone; a part of the tasks ran, the others never will", f.Job.Home).
 			WithRan(errkind.RanYes)
 	case Later:
