wire, capacity: a link's queue grows with need; measured guards decide as real ones

Cause: an entry with 820 idle guards took 72 MB, of which 77 KB of live heap a link. The send queue was a channel of 4,096 slices, made in advance: 98 KB a link. Ruled out: a shorter channel, since a burst of starts would then close a healthy link as slow.

Change: the queue is a slice that grows with need and gives its places back, with the same limit.

capacity: its guards answered a reservation with one offer, so jobs of 100 tasks waited in vain. They hold a real ledger now, with an upstream that answers in no time. The report shows stacks and what failed jobs were answered.

--- a/internal/capacity/callers.go
+++ b/internal/capacity/callers.go
@@ -113,7 +113,7 @@
 	c.failed.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.last = status + " " + string(body)
+	c.last = status + " " + string(body[:min(len(body), maxFailures)])
 }
 
 // percentile gives the p-th part (0.5, 0.99) of the answered jobs' latencies.
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -3,12 +3,12 @@
 // prints what one guard and one task cost on the wire and at the entry, with
 // the slopes from which docs/CAPACITY.md is worked out.
 //
-// A lightweight guard is one goroutine that speaks the inner protocol and
-// answers each start at once. The entry is a real one; its figures are read
+// A lightweight guard is one goroutine that speaks the inner protocol, decides
+// as a real guard does, and has an upstream that answers in no time. The entry is a real one; its figures are read
 // from its exposition. When it runs in this process, its processor time and
 // memory include those of the guards and callers, and the report says so.
 //
-// The package may import identity, telemetry and wire.
+// The package may import errkind, identity, ledger, telemetry and wire.
 package capacity
 
 import (
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -63,6 +63,8 @@
 	c.Assert(m.segments() >= before, qt.IsTrue)
 }
 
+const fakeID = "entry-0"
+
 // fakeEntry welcomes guards and hands each job's one task to one of them.
 type fakeEntry struct {
 	metrics *telemetry.Registry
@@ -76,7 +78,7 @@
 		return
 	}
 	defer l.Close("done")
-	if f, err := l.Recv(r.Context()); err != nil || f.Hello == nil || l.Send(&wire.Frame{Welcome: &wire.Welcome{Version: wire.Version}}) != nil {
+	if f, err := l.Recv(r.Context()); err != nil || f.Hello == nil || l.Send(&wire.Frame{Welcome: &wire.Welcome{Version: wire.Version, Incarnation: fakeID}}) != nil {
 		return
 	}
 	results := make(chan *wire.Result, 1)
@@ -89,7 +91,9 @@
 		if err != nil || f.Goodbye != nil {
 			break
 		}
-		results <- f.Result
+		if f.Result != nil {
+			results <- f.Result
+		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -101,8 +105,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for l, results := range e.links {
-		_ = l.Send(&wire.Frame{Start: &wire.Start{Ref: wire.Ref{Key: r.Header.Get("Idempotency-Key")}, Of: 1}})
-		if (<-results).Status != okStatus {
+		_ = l.Send(&wire.Frame{Start: &wire.Start{Ref: wire.Ref{Key: r.Header.Get("Idempotency-Key")}, Of: 1, Home: fakeID, LeftMs: 1000}})
+		if (<-results).Status != http.StatusOK {
 			w.WriteHeader(http.StatusBadGateway)
 		}
 		return
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("guard %d: %w", i, err)
 	}
-	g := &guard{link: l, done: make(chan struct{})}
+	g := newGuard(l)
 	if err := g.greet(ctx, f.hello(i)); err != nil {
 		l.Close("no welcome")
 		return nil, fmt.Errorf("guard %d: %w", i, err)
@@ -125,7 +125,6 @@
 		Rack:        fmt.Sprintf("rack-%d", i/perRack),
 		Domain:      fmt.Sprintf("domain-%d", i%domains),
 		Slots:       slots,
-		Load:        wire.Load{Seq: 1, Slots: slots, Healthy: true},
 		Software:    telemetry.Version,
 		Key:         f.target.FleetKey,
 	}
--- a/internal/capacity/guard.go
+++ b/internal/capacity/guard.go
@@ -4,26 +4,49 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"sync"
+	"time"
 
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/ledger"
 	"wigeontray/internal/wire"
 )
 
 // answer is the result body of every task.
 var answer = []byte(`{"ok":true}`)
 
-const okStatus = 200
+// Memory of a lightweight guard. A real one remembers far more; here it would
+// only take memory from the measurement.
+const (
+	rememberedStarts = 1000
+	heldBytes        = 16 << 10
+)
 
-// guard is one lightweight guard. One goroutine owns all but link and done.
+// guard is one lightweight guard: a real ledger whose upstream answers in no
+// time, so that slots are offered and refused as a real guard does.
 type guard struct {
-	link wire.Link
-	done chan struct{}
-	seq  uint64 // of load reports
-	ids  uint64 // of offers
+	link  wire.Link
+	entry identity.Incarnation
+	done  chan struct{}
+
+	mu     sync.Mutex // guards what follows
+	ledger *ledger.Ledger
+	timer  *time.Timer // calls tick when the ledger is next due
+}
+
+func newGuard(link wire.Link) *guard {
+	now := time.Now()
+	g := &guard{link: link, done: make(chan struct{})}
+	g.ledger = ledger.New(now, ledger.Options{Slots: slots, Remembered: rememberedStarts, HeldBytes: heldBytes})
+	g.ledger.Health(now, true)
+	return g
 }
 
 // greet sends the Hello and waits for the Welcome.
 func (g *guard) greet(ctx context.Context, h *wire.Hello) error {
-	g.seq = h.Load.Seq
+	h.Load = g.ledger.Load()
 	if err := g.link.Send(&wire.Frame{Hello: h}); err != nil {
 		return fmt.Errorf("send hello: %w", err)
 	}
@@ -34,50 +57,84 @@
 	if f.Welcome == nil {
 		return errors.New("first frame is no welcome")
 	}
+	g.entry = f.Welcome.Incarnation
 	return nil
 }
 
 // serve answers the entry until the link ends.
 func (g *guard) serve() {
 	defer close(g.done)
+	g.step(func(now time.Time) { g.ledger.LinkUp(now, g.entry) })
 	for {
 		f, err := g.link.Recv(context.Background())
 		if err != nil {
 			return
 		}
-		if reply := g.reply(f); reply != nil && g.link.Send(reply) != nil {
-			return
-		}
+		g.step(func(now time.Time) { g.take(now, f) })
 	}
 }
 
-// reply plays a guard whose upstream answers in no time: it never has a task
-// to cancel, a start to report or a slot that is taken.
-func (g *guard) reply(f *wire.Frame) *wire.Frame {
+// take feeds one frame to the ledger.
+func (g *guard) take(now time.Time, f *wire.Frame) {
 	switch {
 	case f.Start != nil:
-		return &wire.Frame{Result: &wire.Result{Ref: f.Start.Ref, Status: okStatus, Body: answer, Load: g.load()}}
-	case f.Reserve != nil && f.Reserve.Want > 0:
-		g.ids++
-		return &wire.Frame{Offer: &wire.Offer{ID: g.ids, HoldMs: 100, Load: g.load()}}
-	case f.Config != nil:
-		return &wire.Frame{ConfigAck: &wire.ConfigAck{Revision: f.Config.Revision}}
+		g.ledger.Start(now, g.entry, f.Start)
+	case f.Cancel != nil:
+		g.ledger.Cancel(now, g.entry, f.Cancel)
+	case f.Reserve != nil:
+		g.ledger.Reserve(now, g.entry, f.Reserve)
 	case f.Fence != nil:
-		return &wire.Frame{FenceReport: &wire.FenceReport{Gone: f.Fence.Gone}}
+		g.ledger.Fence(now, g.entry, f.Fence)
 	case f.Collect != nil:
-		return &wire.Frame{Collected: &wire.Collected{Member: f.Collect.Member, Key: f.Collect.Key}}
+		g.ledger.Collect(g.entry, f.Collect)
+	case f.Config != nil:
+		g.send(&wire.Frame{ConfigAck: &wire.ConfigAck{Revision: f.Config.Revision}})
 	}
-	return nil
 }
 
-func (g *guard) load() wire.Load {
-	g.seq++
-	return wire.Load{Seq: g.seq, Slots: slots, Healthy: true}
+// step feeds one event to the ledger and carries out its actions. A task that
+// is to run has its result at once, which makes further actions.
+func (g *guard) step(event func(now time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	event(now)
+	for actions := g.ledger.Actions(); len(actions) > 0; actions = g.ledger.Actions() {
+		for _, a := range actions {
+			g.act(now, a)
+		}
+	}
+	g.schedule(now)
+}
+
+func (g *guard) act(now time.Time, a ledger.Action) {
+	if a.Send != nil {
+		g.send(a.Send.Frame)
+		return
+	}
+	g.ledger.Finished(now, wire.Result{Ref: a.Run.Ref, Ran: errkind.RanYes, Status: http.StatusOK, Body: answer})
+}
+
+// send queues a frame. A failed one has ended the link, which its reader sees.
+func (g *guard) send(f *wire.Frame) { _ = g.link.Send(f) }
+
+// schedule arranges for the ledger's next tick.
+func (g *guard) schedule(now time.Time) {
+	next := g.ledger.NextTick()
+	switch {
+	case next.IsZero():
+	case g.timer == nil:
+		g.timer = time.AfterFunc(next.Sub(now), g.tick)
+	default:
+		g.timer.Reset(next.Sub(now))
+	}
 }
 
-// close takes leave, so that the entry counts a planned stop and no loss. done is
-// closed when the link has ended.
+func (g *guard) tick() { g.step(g.ledger.Tick) }
+
+// close takes leave, so that the entry counts a planned stop and no loss. done
+// is closed when the link has ended.
 func (g *guard) close() {
-	_ = g.link.Send(&wire.Frame{Goodbye: &wire.Goodbye{Reason: "measurement ends"}})
+	g.step(func(now time.Time) { g.ledger.Drain(now, "measurement ends") })
 	g.link.Close("measurement ends")
 }
--- a/internal/capacity/probe.go
+++ b/internal/capacity/probe.go
@@ -16,6 +16,7 @@
 	CPU      float64 // seconds of processor time
 	Resident float64 // bytes
 	Heap     float64 // bytes reachable at the last collection
+	Stacks   float64 // bytes of goroutines' stacks
 	Guards   float64
 	Held     float64 // job records
 }
@@ -55,6 +56,7 @@
 		"process_cpu_seconds_total":     &f.CPU,
 		"process_resident_memory_bytes": &f.Resident,
 		"go_heap_live_bytes":            &f.Heap,
+		"go_stack_bytes":                &f.Stacks,
 		"wigeontray_guards":             &f.Guards,
 		"wigeontray_jobs_held":          &f.Held,
 	}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -40,6 +40,7 @@
 	EntryCPU         float64 `json:"entry_cpu"` // share of one core
 	EntryResident    float64 `json:"entry_resident_bytes"`
 	EntryHeap        float64 `json:"entry_heap_live_bytes"`
+	EntryStacks      float64 `json:"entry_stack_bytes"`
 }
 
 // Load is the cost of tasks.
@@ -66,6 +67,7 @@
 	IdleWire     Line   `json:"idle_wire_bytes"`      // at the entry, per second
 	IdleResident Line   `json:"idle_resident_bytes"`  // at the entry
 	IdleHeap     Line   `json:"idle_heap_live_bytes"` // at the entry
+	IdleStacks   Line   `json:"idle_stack_bytes"`     // at the entry
 	CPUPerTask   []Line `json:"cpu_us_per_task"`      // one per load
 }
 
@@ -86,6 +88,7 @@
 		EntryCPU:         (after.entry.CPU - before.entry.CPU) / seconds,
 		EntryResident:    after.entry.Resident,
 		EntryHeap:        after.entry.Heap,
+		EntryStacks:      after.entry.Stacks,
 	}
 }
 
@@ -134,6 +137,7 @@
 		IdleWire:     line(func(s *Size) float64 { return s.Idle.WirePerGuard * float64(s.Guards) }),
 		IdleResident: line(func(s *Size) float64 { return s.Idle.EntryResident }),
 		IdleHeap:     line(func(s *Size) float64 { return s.Idle.EntryHeap }),
+		IdleStacks:   line(func(s *Size) float64 { return s.Idle.EntryStacks }),
 	}
 	for i := range r.Sizes[0].Loads {
 		l := line(func(s *Size) float64 { return s.Loads[i].CPUPerTask })
@@ -154,13 +158,13 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	p := func(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) } // Flush reports
 	p("wigeontray %s, %d cores, entry in this process: %v\n", r.Software, r.Cores, r.Shared)
-	p("idle, per guard\tframes/s\tsegments/s\tsocket B/s\twire B/s\tentry core %%\tentry RSS MB\tentry heap MB\t")
+	p("idle, per guard\tframes/s\tsegments/s\tsocket B/s\twire B/s\tentry core %%\tentry RSS MB\theap MB\tstacks MB\t")
 	for _, s := range r.Sizes {
 		i := s.Idle
-		p("%d guards\t%.3f\t%.3f\t%.2f\t%.2f\t%.3f\t%.1f\t%.1f\t", s.Guards, i.FramesPerGuard, i.SegmentsPerGuard,
-			i.BytesPerGuard, i.WirePerGuard, 100*i.EntryCPU, i.EntryResident/megabyte, i.EntryHeap/megabyte)
+		p("%d guards\t%.3f\t%.3f\t%.2f\t%.2f\t%.3f\t%.1f\t%.1f\t%.1f\t", s.Guards, i.FramesPerGuard, i.SegmentsPerGuard,
+			i.BytesPerGuard, i.WirePerGuard, 100*i.EntryCPU, i.EntryResident/megabyte, i.EntryHeap/megabyte, i.EntryStacks/megabyte)
 	}
-	p("\t\t\t\t\t\t\t\t")
+	p("\t\t\t\t\t\t\t\t\t")
 	p("load\ttasks/job\ttasks/s\tfailed jobs\tentry us/task\tframes/task\tsocket B/task\twire B/task\tjob p50 ms\tjob p99 ms\t")
 	for _, s := range r.Sizes {
 		for _, l := range s.Loads {
@@ -168,6 +172,7 @@
 				l.FailedJobs, l.CPUPerTask, l.FramesPerTask, l.BytesPerTask, l.WirePerTask, l.JobP50Ms, l.JobP99Ms)
 		}
 	}
+	r.writeFailures(p)
 	r.writeSlopes(p)
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("write report: %w", err)
@@ -175,7 +180,22 @@
 	return nil
 }
 
-const megabyte = 1e6
+// writeFailures shows what failed jobs were answered, as their tasks are in no
+// figure above.
+func (r *Report) writeFailures(p func(format string, args ...any)) {
+	for _, s := range r.Sizes {
+		for _, l := range s.Loads {
+			if l.FailedJobs > 0 {
+				p("\n%d guards, %d tasks a job, last failure: %s", s.Guards, l.TasksPerJob, l.LastFailure)
+			}
+		}
+	}
+}
+
+const (
+	megabyte    = 1e6
+	maxFailures = 300 // bytes of an answer that are shown
+)
 
 func (r *Report) writeSlopes(p func(format string, args ...any)) {
 	s := &r.Slopes
@@ -188,6 +208,7 @@
 	row("idle traffic", "KB/s", 1e-3, s.IdleWire)
 	row("idle resident memory", "MB", 1/megabyte, s.IdleResident)
 	row("idle live heap", "MB", 1/megabyte, s.IdleHeap)
+	row("idle stacks", "MB", 1/megabyte, s.IdleStacks)
 	for i, l := range s.CPUPerTask {
 		row(fmt.Sprintf("processor time, %d tasks a job", r.Sizes[0].Loads[i].TasksPerJob), "us/task", 1, l)
 	}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -47,7 +47,7 @@
 // socketLink is a Link over one WebSocket connection.
 type socketLink struct {
 	conn    *websocket.Conn
-	out     chan []byte
+	out     *outbox
 	done    chan struct{}
 	once    sync.Once
 	traffic *Traffic
@@ -59,7 +59,7 @@
 		traffic = new(Traffic)
 	}
 	conn.SetReadLimit(MaxFrame)
-	l := &socketLink{conn: conn, out: make(chan []byte, sendQueue), done: make(chan struct{}), traffic: traffic}
+	l := &socketLink{conn: conn, out: newOutbox(sendQueue), done: make(chan struct{}), traffic: traffic}
 	go l.write()
 	return l
 }
@@ -76,13 +76,11 @@
 		return net.ErrClosed
 	default:
 	}
-	select {
-	case l.out <- b:
-		return nil
-	default:
+	if err := l.out.add(b); err != nil {
 		l.Close("slow peer")
 		return ErrSlowPeer
 	}
+	return nil
 }
 
 func (l *socketLink) Recv(ctx context.Context) (*Frame, error) {
@@ -120,10 +118,12 @@
 func (l *socketLink) write() {
 	ping := time.NewTicker(PingEvery)
 	defer ping.Stop()
+	var batch [][]byte
 	for {
 		select {
-		case b := <-l.out:
-			if err := l.put(b); err != nil {
+		case <-l.out.ready:
+			batch = l.out.take(batch)
+			if err := l.putAll(batch); err != nil {
 				l.Close("write failed")
 				return
 			}
@@ -135,6 +135,16 @@
 	}
 }
 
+func (l *socketLink) putAll(frames [][]byte) error {
+	for _, b := range frames {
+		if err := l.put(b); err != nil {
+			return err
+		}
+		l.out.sent()
+	}
+	return nil
+}
+
 func (l *socketLink) put(b []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
