--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -70,7 +70,7 @@
 	f.settled()
 	key := f.ticket(a)
 	a.signal(syscall.SIGSTOP)
-	late := f.submitted(caller(a), key, job(10, 1))
+	late := f.submitted(caller(a, b), key, job(10, 1))
 	answer := <-f.submitted(caller(b), key, job(10, 1))
 	f.Assert(answer.Parsed.Error, qt.IsNotNil, qt.Commentf("%s", answer.Body))
 	told := answer.Parsed.Error.Kind
