--- a/internal/peers/fake_test.go
+++ b/internal/peers/fake_test.go
@@ -56,6 +56,7 @@
 	mu      sync.Mutex // guards entries against dials while one is started
 	entries map[identity.Incarnation]*entry
 	wg      sync.WaitGroup
+	cutPair atomic.Pointer[[2]*entry]
 	frames  atomic.Int64
 	bytes   atomic.Int64
 }
@@ -126,7 +127,7 @@
 	n.mu.Lock()
 	target := n.entries[identity.Incarnation(to.Inner)]
 	n.mu.Unlock()
-	if target == nil || target.cut.Load() || from.cut.Load() {
+	if target == nil || target.cut.Load() || from.cut.Load() || n.apart(from, target) {
 		return nil, errCut
 	}
 	a, b := wiretest.Pipe()
@@ -165,6 +166,18 @@
 	}
 }
 
+// apart tells whether the cable between two entries is cut.
+func (n *network) apart(x, y *entry) bool {
+	pair := n.cutPair.Load()
+	return pair != nil && (*pair == [2]*entry{x, y} || *pair == [2]*entry{y, x})
+}
+
+// cutCable breaks the links between two entries, which both keep all others.
+func (n *network) cutCable(x, y identity.Incarnation) {
+	n.cutPair.Store(&[2]*entry{n.entries[x], n.entries[y]})
+	(*n.entries[x].links.Load())[y].link.Close("cut")
+}
+
 // freeze stops an entry without closing its links.
 func (n *network) freeze(name identity.Incarnation) {
 	n.entries[name].frozen.Store(true)
@@ -202,10 +215,12 @@
 	return out
 }
 
-// startersBut leaves out an entry that callers cannot reach.
-func (n *network) startersBut(lost identity.Incarnation, count uint64) map[identity.Incarnation]int {
+// startersBut leaves out entries that callers cannot reach.
+func (n *network) startersBut(lost []identity.Incarnation, count uint64) map[identity.Incarnation]int {
 	out := n.starters(count)
-	delete(out, lost)
+	for _, name := range lost {
+		delete(out, name)
+	}
 	return out
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -270,14 +270,19 @@
 // of it: nothing starts once the horizon is used up, and what the lost entry
 // owns is refused until a roster without it begins.
 func TestRefusalsAfterALoss(t *testing.T) {
+	one, two := []identity.Incarnation{"b"}, []identity.Incarnation{"b", "c"}
 	for _, tc := range []struct {
 		name         string
+		lost         []identity.Incarnation
 		lose         func(n *network)
 		all, partial time.Duration // bounds
 	}{
-		{"killed", func(n *network) { n.kill("b") }, 2 * time.Second, 10 * time.Second},
-		{"frozen", func(n *network) { n.freeze("b") }, 4 * time.Second, 13 * time.Second},
-		{"killed while the store is down for 20 s", func(n *network) {
+		{"killed", one, func(n *network) { n.kill("b") }, 2 * time.Second, 10 * time.Second},
+		{"frozen", one, func(n *network) { n.freeze("b") }, 4 * time.Second, 13 * time.Second},
+		{"two killed", two, func(n *network) { n.kill("b"); n.kill("c") }, 2 * time.Second, 10 * time.Second},
+		{"stopped as planned", nil, func(n *network) { n.wg.Go(func() { _ = n.entries["b"].Leave(n.ctx); n.entries["b"].cancel() }) }, 0, 0},
+		{"first in order stopped as planned", nil, func(n *network) { n.wg.Go(func() { _ = n.entries["a"].Leave(n.ctx); n.entries["a"].cancel() }) }, 0, 0},
+		{"killed while the store is down for 20 s", one, func(n *network) {
 			n.store.SetDown(true)
 			n.kill("b")
 			time.AfterFunc(20*time.Second, func() { n.store.SetDown(false) })
@@ -290,7 +295,7 @@
 				const sample = 250 * time.Millisecond
 				for range 240 {
 					rest(sample)
-					switch started := total(n.startersBut("b", 100)); {
+					switch started := total(n.startersBut(tc.lost, 100)); {
 					case started == 0:
 						all += sample
 						fallthrough
@@ -301,8 +306,26 @@
 				t.Logf("every plain identity refused for %v, some for %v", all, partial)
 				n.c.Check(all <= tc.all, qt.IsTrue)
 				n.c.Check(partial <= tc.partial, qt.IsTrue)
-				n.c.Check(total(n.startersBut("b", 100)), qt.Equals, 100)
+				n.c.Check(total(n.startersBut(tc.lost, 100)), qt.Equals, 100)
 			})
 		})
 	}
 }
+
+// The cable between two entries is cut, and both reach the store and the third.
+// If both stayed in the roster, neither would hear the other's promises and all
+// plain identities would be refused for as long as the cut lasts.
+func TestCutCableLeavesOneOut(t *testing.T) {
+	inNetwork(t, func(n *network) {
+		n.cutCable("a", "b")
+		rest(time.Minute)
+		n.c.Assert(total(n.starters(100)), qt.Equals, 100)
+		last, _ := n.entries["c"].View().Last()
+		n.c.Assert(last.Members, qt.HasLen, 2)
+		n.cutPair.Store(nil)
+		rest(time.Minute)
+		last, _ = n.entries["c"].View().Last()
+		n.c.Assert(last.Members, qt.HasLen, 3)
+		n.c.Assert(n.entries["c"].gone, qt.HasLen, 0)
+	})
+}
