recovery: verdicts at the planned size; fuzz target for the roster's value

Cause: each report made the survivor look at every job and every guard. With 640 jobs and 820 guards that is 430 million look-ups.

Change: what the reports say is summed up by home, starts are found by job, and a report looks only at the jobs that it names, until the last one is in.

The roster's value in the store uses lower-case field names.

--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -152,6 +152,10 @@
 	inc := l.addr.Incarnation
 	l.lastMs.Store(time.Now().UnixMilli())
 	p.do(func(now time.Time) {
+		if p.stopped {
+			l.link.Close("stopping") // nobody else would end it any more
+			return
+		}
 		if old := p.replaceLink(inc, l); old != nil {
 			old.link.Close("replaced")
 		}
--- a/internal/recovery/home.go
+++ b/internal/recovery/home.go
@@ -1,6 +1,7 @@
 package recovery
 
 import (
+	"math"
 	"time"
 
 	"wigeontray/internal/identity"
@@ -18,17 +19,28 @@
 
 	gone     time.Time // zero while not declared gone
 	complete bool      // the guards are all there ever were, from sinceMs on
-	reports  map[identity.Incarnation]*report
-	kept     int // starts kept in reports
-}
+	// reports are the guards' answers to the fence: the birth below which each of
+	// them says nothing. They are final: the guard starts nothing more for this
+	// home.
+	reports map[identity.Incarnation]int64
+	started map[jobName]starts
+	kept    int // starts kept
 
-// report is a guard's answer to a fence. It is final: the guard starts nothing
-// more for this home.
-type report struct {
-	floorMs int64
-	started map[jobName][]wire.Started
+	// What follows sums up guards and reports, so that a job need not look at
+	// each guard; see summarise.
+	stale   bool
+	floorMs int64                  // greatest floor of the guards that were never dropped
+	topMs   int64                  // greatest floor of all that reported
+	silent  []identity.Incarnation // guards on the list that have not reported
+	dropped []identity.Incarnation // guards on the list that were dropped
 }
 
+// starts are those of one job, by guard.
+type starts map[identity.Incarnation][]wire.Started
+
+// nothingKnown is the floor of a guard whose report could not be kept.
+const nothingKnown = int64(math.MaxInt64)
+
 type jobName struct{ member, key string }
 
 // witnessed takes an announcement; it tells whether to acknowledge. After the
@@ -73,25 +85,52 @@
 	}
 	h.gone = now
 	h.complete = h.sinceMs != 0 && h.version > absent
-	h.reports = make(map[identity.Incarnation]*report)
+	h.reports = make(map[identity.Incarnation]int64)
+	h.started = make(map[jobName]starts)
+	h.stale = true
 }
 
-// take keeps a guard's report.
+// take keeps a guard's report and names the jobs that it speaks of.
 func (h *home) take(g identity.Incarnation, r *wire.FenceReport) {
 	if _, again := h.reports[g]; again || h.gone.IsZero() {
 		return
 	}
-	kept := &report{floorMs: r.FloorMs, started: make(map[jobName][]wire.Started)}
+	h.stale = true
 	if h.kept+len(r.Started) > maxStarted {
-		kept = nil // known to have answered, but nothing can be proved from it
-	} else {
-		h.kept += len(r.Started)
-		for _, s := range r.Started {
-			n := jobName{s.Ref.Member, s.Ref.Key}
-			kept.started[n] = append(kept.started[n], s)
+		h.reports[g] = nothingKnown
+		return
+	}
+	h.reports[g] = r.FloorMs
+	h.kept += len(r.Started)
+	for _, s := range r.Started {
+		n := jobName{s.Ref.Member, s.Ref.Key}
+		if h.started[n] == nil {
+			h.started[n] = make(starts)
+		}
+		h.started[n][g] = append(h.started[n][g], s)
+	}
+}
+
+// summarise brings the sums up to date.
+func (h *home) summarise() {
+	if !h.stale {
+		return
+	}
+	h.stale, h.floorMs, h.topMs, h.silent, h.dropped = false, 0, 0, nil, nil
+	for _, floor := range h.reports {
+		h.topMs = max(h.topMs, floor)
+	}
+	for g, dropped := range h.guards {
+		floor, reported := h.reports[g]
+		if dropped != 0 {
+			h.dropped = append(h.dropped, g)
+		}
+		if !reported {
+			h.silent = append(h.silent, g)
+		} else if dropped == 0 {
+			h.floorMs = max(h.floorMs, floor)
 		}
 	}
-	h.reports[g] = kept
 }
 
 // couldHaveUsed tells whether the home may have sent a job born at birthMs to g.
@@ -102,41 +141,39 @@
 
 // falls tells whether g's report falls short of a job born at birthMs.
 func (h *home) falls(g identity.Incarnation, birthMs int64) bool {
-	r, reported := h.reports[g]
-	return reported && (r == nil || birthMs < r.floorMs)
+	floor, reported := h.reports[g]
+	return reported && birthMs < floor
 }
 
-// proof sorts the guards that could have started a job.
+// proof is what the reports say about one job.
 type proof struct {
-	possible bool // the list of guards is complete for the job
-	silent   []identity.Incarnation
-	started  map[identity.Incarnation][]wire.Started
+	possible bool // the list of guards is complete for the job, and those that reported remember its time
+	silent   bool // a guard that could have started it has not reported
+	awaited  bool // such a guard may still report
+	started  starts
 }
 
-// evidence collects what the reports say about a job.
-func (h *home) evidence(j Job) proof {
+// evidence collects what is known about a job. lost tells which guards need not
+// be waited for.
+func (h *home) evidence(j Job, lost func(identity.Incarnation) bool) proof {
+	h.summarise()
 	p := proof{
-		possible: h.complete && j.BirthMs >= max(h.sinceMs, h.pruned),
-		started:  make(map[identity.Incarnation][]wire.Started),
+		possible: h.complete && j.BirthMs >= max(h.sinceMs, h.pruned, h.floorMs),
+		started:  h.started[jobName{j.Member, j.Key}],
 	}
-	for g, r := range h.reports {
-		if r == nil {
-			continue
-		}
-		if s := r.started[jobName{j.Member, j.Key}]; len(s) > 0 {
-			p.started[g] = s
+	for _, g := range h.dropped {
+		if h.couldHaveUsed(g, j.BirthMs) && h.falls(g, j.BirthMs) {
+			p.possible = false
 		}
 	}
-	for g := range h.guards {
+	for _, g := range h.silent {
 		if !h.couldHaveUsed(g, j.BirthMs) {
 			continue
 		}
-		_, answered := h.reports[g]
-		switch {
-		case !answered:
-			p.silent = append(p.silent, g)
-		case h.falls(g, j.BirthMs):
-			p.possible = false
+		p.silent = true
+		if !lost(g) {
+			p.awaited = true
+			break
 		}
 	}
 	return p
--- a/internal/recovery/machine.go
+++ b/internal/recovery/machine.go
@@ -18,7 +18,7 @@
 	opt     Options
 	homes   map[identity.Incarnation]*home
 	guards  map[identity.Incarnation]time.Time // zero while linked, else when lost
-	jobs    map[Job]*recovery
+	jobs    map[jobName]*recovery
 	version int64 // last roster version taken
 	absent  int64 // last one that left this entry out
 	actions []Action
@@ -57,7 +57,7 @@
 		opt:    opt.withDefaults(),
 		homes:  make(map[identity.Incarnation]*home),
 		guards: make(map[identity.Incarnation]time.Time),
-		jobs:   make(map[Job]*recovery),
+		jobs:   make(map[jobName]*recovery),
 	}
 }
 
@@ -160,42 +160,54 @@
 
 // Report takes a guard's answer to a fence.
 func (m *Machine) Report(now time.Time, g identity.Incarnation, r *wire.FenceReport) {
-	m.lookup(r.Gone).take(g, r)
-	m.Tick(now)
+	h := m.lookup(r.Gone)
+	h.take(g, r)
+	if h.summarise(); len(h.silent) == 0 {
+		m.Tick(now)
+		return
+	}
+	// The others wait for the next tick: looking at every job for every report
+	// would cost seconds of a processor at hundreds of guards.
+	for _, s := range r.Started {
+		if job := m.jobs[jobName{s.Ref.Member, s.Ref.Key}]; job != nil {
+			m.advance(now, job)
+		}
+	}
 }
 
 // Recover begins to find out about j; a Finding follows at the deadline at the
-// latest.
+// latest. j.Home must be the final owner.
 func (m *Machine) Recover(now time.Time, j Job, deadline time.Time) {
-	if _, underway := m.jobs[j]; underway {
+	name := jobName{j.Member, j.Key}
+	if underway := m.jobs[name]; underway != nil && underway.job == j {
 		return
 	}
-	if len(m.jobs) >= maxJobs {
+	if m.jobs[name] != nil || len(m.jobs) >= maxJobs {
 		m.finish(j, Later, nil)
 		return
 	}
-	m.jobs[j] = &recovery{
+	r := &recovery{
 		job: j, began: now, deadline: deadline,
 		results: make(map[int]wire.Result), asked: make(map[identity.Incarnation]bool),
 	}
-	m.Tick(now)
+	m.jobs[name] = r
+	m.advance(now, r)
 }
 
 // Collected takes the results that a guard holds of a job.
 func (m *Machine) Collected(now time.Time, g identity.Incarnation, c *wire.Collected) {
-	for _, r := range m.jobs {
-		if r.job.Member != c.Member || r.job.Key != c.Key {
-			continue
-		}
-		r.asked[g] = true
-		r.of = max(r.of, c.Of)
-		for _, res := range c.Results {
-			if res.Ran != errkind.RanNo {
-				r.results[res.Ref.Task] = res
-			}
+	r := m.jobs[jobName{c.Member, c.Key}]
+	if r == nil {
+		return
+	}
+	r.asked[g] = true
+	r.of = max(r.of, c.Of)
+	for _, res := range c.Results {
+		if res.Ran != errkind.RanNo {
+			r.results[res.Ref.Task] = res
 		}
 	}
-	m.Tick(now)
+	m.advance(now, r)
 }
 
 // Tick does what is due.
@@ -225,7 +237,7 @@
 
 func (m *Machine) sortedJobs() []*recovery {
 	return slices.SortedFunc(maps.Values(m.jobs), func(a, b *recovery) int {
-		return cmp.Or(cmp.Compare(a.job.Member, b.job.Member), cmp.Compare(a.job.Key, b.job.Key), cmp.Compare(a.job.Home, b.job.Home))
+		return cmp.Or(cmp.Compare(a.job.Member, b.job.Member), cmp.Compare(a.job.Key, b.job.Key))
 	})
 }
 
@@ -233,7 +245,7 @@
 // verdict.
 func (m *Machine) advance(now time.Time, r *recovery) {
 	h := m.lookup(r.job.Home)
-	p := h.evidence(r.job)
+	p := h.evidence(r.job, func(g identity.Incarnation) bool { return m.isLost(now, g) })
 	for _, starts := range p.started {
 		for _, s := range starts {
 			r.of = max(r.of, s.Of)
@@ -241,7 +253,7 @@
 	}
 	m.collect(now, r, p)
 	if v := m.verdict(now, r, h, p); v != Wait {
-		delete(m.jobs, r.job)
+		delete(m.jobs, jobName{r.job.Member, r.job.Key})
 		m.finish(r.job, v, r)
 	}
 }
@@ -255,7 +267,7 @@
 		return Whole
 	case h.gone.IsZero():
 		return m.undeclared(now, r)
-	case p.possible && len(p.silent) == 0:
+	case p.possible && !p.silent:
 		return m.proved(now, r, p)
 	case m.canStillChange(now, r, p) && now.Before(r.deadline):
 		return Wait
@@ -314,10 +326,8 @@
 // reported or not answered is linked or may come back, or a started task is
 // being worked on.
 func (m *Machine) canStillChange(now time.Time, r *recovery, p proof) bool {
-	for _, g := range p.silent {
-		if !m.isLost(now, g) {
-			return true
-		}
+	if p.awaited {
+		return true
 	}
 	for g, answered := range r.asked {
 		if !answered && !m.isLost(now, g) && m.lookup(r.job.Home).falls(g, r.job.BirthMs) {
@@ -343,10 +353,7 @@
 		r.nextPoll = now.Add(m.opt.Poll)
 	}
 	r.held = false
-	for _, g := range slices.Sorted(maps.Keys(m.guards)) {
-		if !m.guards[g].IsZero() {
-			continue
-		}
+	for _, g := range m.candidates(r, p) {
 		_, started := p.started[g]
 		if started && poll || m.worthAsking(g, r) && m.spend(now, r) {
 			r.asked[g] = r.asked[g] || started
@@ -355,6 +362,21 @@
 	}
 }
 
+// candidates lists the linked guards that may hold results of a job, sorted:
+// those that reported a start, when the reports say enough about its time.
+func (m *Machine) candidates(r *recovery, p proof) (out []identity.Incarnation) {
+	h := m.lookup(r.job.Home)
+	if !h.gone.IsZero() && r.job.BirthMs >= h.topMs {
+		out = slices.Sorted(maps.Keys(p.started))
+	} else {
+		out = slices.Sorted(maps.Keys(m.guards))
+	}
+	return slices.DeleteFunc(out, func(g identity.Incarnation) bool {
+		lost, known := m.guards[g]
+		return !known || !lost.IsZero()
+	})
+}
+
 // worthAsking tells whether g may hold results of a job without having reported
 // its start: the home is not declared gone yet, or the report does not reach
 // back to the birth.
--- a/internal/recovery/machine_test.go
+++ b/internal/recovery/machine_test.go
@@ -1,6 +1,7 @@
 package recovery
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -232,6 +233,40 @@
 	f.c.Assert(f.m.Actions(), qt.HasLen, 0)
 }
 
+// An entry of the planned size dies with the requests of many callers, who all
+// ask again. If each report made the survivor look at every job and guard, it
+// would be busy for many seconds, with its own requests waiting.
+func TestRecoveryAtThePlannedSize(t *testing.T) {
+	const guards, jobs = 820, 640
+	f := newFixture(t)
+	name := func(i int) identity.Incarnation { return identity.Incarnation(fmt.Sprint("guard-", i)) }
+	w := &wire.Witness{Seq: 3}
+	for i := range guards {
+		w.Guards = append(w.Guards, name(i))
+		f.m.GuardUp(f.now, name(i))
+	}
+	f.m.Witness(f.now, other, w)
+	f.die()
+	began := time.Now()
+	for i := range jobs {
+		j := f.job
+		j.Key = fmt.Sprint(i)
+		f.m.Recover(f.now, j, f.now.Add(time.Minute))
+	}
+	for i := range guards {
+		f.report(name(i))
+	}
+	findings := 0
+	for _, a := range f.m.Actions() {
+		if a.Finding != nil && a.Finding.Verdict == NotRun {
+			findings++
+		}
+	}
+	t.Logf("%d guards, %d jobs: %v", guards, jobs, time.Since(began))
+	f.c.Assert(findings, qt.Equals, jobs)
+	f.c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+}
+
 // An acknowledgement is on its way while its guard goes and comes back. Taken
 // for the new announcement, which the peer may never hear, it would put a guard
 // into use that the witness believes to be dropped.
--- a/internal/roster/machine_test.go
+++ b/internal/roster/machine_test.go
@@ -356,3 +356,20 @@
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", s))
 	}
 }
+
+// Anything may lie under the store's key after a slip of an operator. It must
+// neither stop the process nor be obeyed in part.
+func FuzzDecodeHistory(f *testing.F) {
+	f.Add([]byte(`{"versions":[{"version":1,"from_ms":5,"members":[{"incarnation":"a"}],"ceiling_ms":9}]}`))
+	f.Add([]byte(`{"versions":[{"version":9223372036854775807},{"version":-9223372036854775808}]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		m := NewMachine(addr("a"), Options{})
+		if m.Stored(epoch, value, 1) != nil {
+			qt.Assert(t, m.View().Versions(), qt.HasLen, 0)
+			return
+		}
+		_ = m.View().MayStart(member, plainKey(epoch, 1))
+		_, err := History{Versions: m.View().Versions()}.Encode()
+		qt.Assert(t, err, qt.IsNil)
+	})
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -80,9 +80,9 @@
 
 // EntryAddr tells where an entry is reached.
 type EntryAddr struct {
-	Incarnation identity.Incarnation `cbor:"1,keyasint"`
-	Inner       string               `cbor:"2,keyasint"` // host:port of the inner protocol
-	Domain      string               `cbor:"3,keyasint,omitempty"`
+	Incarnation identity.Incarnation `cbor:"1,keyasint" json:"incarnation"`
+	Inner       string               `cbor:"2,keyasint" json:"inner"` // host:port of the inner protocol
+	Domain      string               `cbor:"3,keyasint,omitempty" json:"domain,omitempty"`
 }
 
 // Ref names one task for good: the member's job identity and the task's index.
