--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,24 +11,17 @@
 
 	"github.com/alecthomas/kong"
 
+	"wigeontray/internal/operator"
 	"wigeontray/internal/telemetry"
 )
 
-// Exit codes of both binaries.
-const (
-	ExitOK      = 0
-	ExitFailed  = 1 // the command ran and its answer is no
-	ExitUsage   = 2 // flags or settings are wrong
-	ExitUnknown = 3 // the outcome cannot be known; ask before repeating
-)
-
-// ErrFailed marks a command that ran and whose answer is no.
-var ErrFailed = errors.New("failed")
-
 // errUsage marks wrong flags or settings.
 var errUsage = errors.New("usage")
 
-// errUnknown marks an outcome that cannot be known.
+// errFailed marks a command that ran and whose answer is no.
+var errFailed = errors.New("failed")
+
+// errUnknown marks an outcome that cannot be known; ask before repeating.
 var errUnknown = errors.New("outcome unknown")
 
 // env is what commands share.
@@ -48,6 +41,7 @@
 	Replay     replayCmd     `cmd:"" help:"Replay traces against the decisions and report whether their outcomes are met."`
 	Compare    compareCmd    `cmd:"" help:"Compare the ways of placing tasks on generated workloads."`
 	Capacity   capacityCmd   `cmd:"" help:"Measure what guards and tasks cost at an entry."`
+	Record     recordCmd     `cmd:"" help:"Read and amend records through an entry."`
 	Keys       keysCmd       `cmd:"" help:"Make a certificate authority and certificates for a fleet, or a member's token."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
@@ -67,23 +61,23 @@
 	k, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintf(stderr, "wigeontray: %v\n", err)
-		return ExitUsage
+		return operator.ExitUsage
 	}
 	return exitCode("wigeontray", stderr, k.Run(&env{ctx: ctx, stdout: stdout, stderr: stderr}))
 }
 
 func exitCode(name string, stderr io.Writer, err error) int {
 	if err == nil {
-		return ExitOK
+		return operator.ExitOK
 	}
 	fmt.Fprintf(stderr, "%s: %v\n", name, err)
 	switch {
 	case errors.Is(err, errUsage):
-		return ExitUsage
+		return operator.ExitUsage
 	case errors.Is(err, errUnknown):
-		return ExitUnknown
+		return operator.ExitUnknown
 	}
-	return ExitFailed
+	return operator.ExitCode(err)
 }
 
 type versionCmd struct{}
--- a/internal/cli/guard.go
+++ b/internal/cli/guard.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kong"
 
 	"wigeontray/internal/node"
+	"wigeontray/internal/operator"
 	"wigeontray/internal/settings"
 	"wigeontray/internal/telemetry"
 )
@@ -33,11 +34,11 @@
 	}
 	if _, err := parser.Parse(args); err != nil {
 		fmt.Fprintf(stderr, "wigeontray-guard: %v\n", err)
-		return ExitUsage
+		return operator.ExitUsage
 	}
 	if c.Version {
 		fmt.Fprintln(stdout, "wigeontray-guard", telemetry.Version)
-		return ExitOK
+		return operator.ExitOK
 	}
 	return exitCode("wigeontray-guard", stderr, serveGuard(ctx, c.Config, stderr))
 }
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -52,7 +52,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%w: %s answered %s", ErrFailed, url, resp.Status)
+		return fmt.Errorf("%w: %s answered %s", errFailed, url, resp.Status)
 	}
 	_, err = io.Copy(e.stdout, resp.Body)
 	return err
--- /dev/null
+++ b/internal/cli/record.go
@@ -0,0 +1,115 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"wigeontray/internal/operator"
+	"wigeontray/internal/record"
+)
+
+type recordCmd struct {
+	Get    recordGetCmd    `cmd:"" help:"Print one record."`
+	List   recordListCmd   `cmd:"" help:"Print all records that the token may see."`
+	Put    recordPutCmd    `cmd:"" help:"Write a record if nobody has amended it since."`
+	Delete recordDeleteCmd `cmd:"" help:"Delete a record if nobody has amended it since."`
+}
+
+// entryFlags say how to reach an entry as an operator.
+type entryFlags struct {
+	Entry     string `required:"" placeholder:"URL" help:"Base URL of an entry for callers."`
+	TokenFile string `required:"" placeholder:"FILE" help:"File with the token of the member or of the consortium's operator."`
+	CA        string `placeholder:"FILE" help:"Certificates that the entry's certificate must chain to."`
+}
+
+func (f *entryFlags) client() (*operator.Client, error) {
+	token, err := secretFrom(f.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	h, err := httpClient(f.CA)
+	if err != nil {
+		return nil, err
+	}
+	return operator.New(operator.Options{Address: f.Entry, Token: token, Transport: h.Transport}), nil
+}
+
+// show prints what a call answered.
+func show[T any](e *env, v T, err error) error {
+	if err != nil {
+		return err
+	}
+	return operator.WriteJSON(e.stdout, v)
+}
+
+type recordGetCmd struct {
+	entryFlags
+	Kind record.Kind `arg:"" help:"member, service, policy or job."`
+	Name string      `arg:"" help:"Name of the record."`
+}
+
+// Run prints the record with its revision.
+func (c *recordGetCmd) Run(e *env) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer e.progress("waiting for the entry")()
+	r, err := cl.Get(e.ctx, c.Kind, c.Name)
+	return show(e, r, err)
+}
+
+type recordListCmd struct {
+	entryFlags
+	Kind record.Kind `help:"Only this kind."`
+}
+
+// Run prints the records.
+func (c *recordListCmd) Run(e *env) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer e.progress("waiting for the entry")()
+	l, err := cl.List(e.ctx, c.Kind)
+	return show(e, l, err)
+}
+
+type recordPutCmd struct {
+	entryFlags
+	File     string `arg:"" type:"existingfile" help:"File with the record."`
+	Revision int64  `help:"Revision that is amended; 0 for a record that does not exist yet."`
+}
+
+// Run writes the record and prints its new revision.
+func (c *recordPutCmd) Run(e *env) error {
+	b, err := os.ReadFile(c.File)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer e.progress("waiting for the entry")()
+	r, err := cl.Put(e.ctx, b, c.Revision)
+	return show(e, r, err)
+}
+
+type recordDeleteCmd struct {
+	entryFlags
+	Kind     record.Kind `arg:"" help:"member, service, policy or job."`
+	Name     string      `arg:"" help:"Name of the record."`
+	Revision int64       `required:"" help:"Revision that is deleted."`
+}
+
+// Run deletes the record.
+func (c *recordDeleteCmd) Run(e *env) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer e.progress("waiting for the entry")()
+	r, err := cl.Delete(e.ctx, c.Kind, c.Name, c.Revision)
+	return show(e, r, err)
+}
--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 
+	"wigeontray/internal/operator"
 	"wigeontray/internal/replay"
 )
 
@@ -21,7 +22,7 @@
 	defer e.progress("replaying")()
 	err := replay.Main(e.stdout, c.Trace, c.Seed, c.JSON)
 	if errors.Is(err, replay.ErrUnmet) {
-		return fmt.Errorf("%w: %w", ErrFailed, err)
+		return fmt.Errorf("%w: %w", errFailed, err)
 	}
 	return err
 }
@@ -53,28 +54,23 @@
 	File []string `arg:"" help:"Settings (.ini) and records (.json); folders are read whole."`
 }
 
-// Run checks every file and lists all problems.
+// Run checks every file and prints what was found in each.
 func (c *checkCmd) Run(e *env) error {
-	var problems []error
-	checked := 0
+	var files []string
 	for _, root := range c.File {
 		err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
-			if err != nil || d.IsDir() {
-				return err
+			if err == nil && !d.IsDir() {
+				files = append(files, path)
 			}
-			checked++
-			if err := checkFile(path); err != nil {
-				problems = append(problems, err)
-			}
-			return nil
+			return err
 		})
 		if err != nil {
 			return fmt.Errorf("%w: %w", errUsage, err)
 		}
 	}
-	if len(problems) > 0 {
-		return fmt.Errorf("%w: %w", ErrFailed, errors.Join(problems...))
+	found, err := operator.Check(files)
+	if werr := operator.WriteJSON(e.stdout, found); werr != nil {
+		return werr
 	}
-	_, err := fmt.Fprintf(e.stdout, "%d files are fine\n", checked)
 	return err
 }
--- a/internal/cli/submit.go
+++ b/internal/cli/submit.go
@@ -123,7 +123,7 @@
 	case e.Ran == errkind.RanUnknown.String():
 		return fmt.Errorf("%w: %s", errUnknown, e.Message)
 	default:
-		return fmt.Errorf("%w: %s", ErrFailed, e.Message)
+		return fmt.Errorf("%w: %s", errFailed, e.Message)
 	}
 }
 
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -1,14 +1,19 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/google/uuid"
+
+	"wigeontray/internal/operator"
+	"wigeontray/internal/record"
 )
 
 func TestServesARequestThroughProcesses(t *testing.T) {
@@ -156,3 +161,37 @@
 	ans = <-f.submitted(caller(b), f.ticket(a), job(10, 1))
 	f.Assert(ans.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", ans.Body))
 }
+
+// An operator amends a record at one entry. All entries must obey it within
+// five seconds (letter 1), and a second operator who amends the revision that
+// the first one replaced must be told of the conflict.
+func TestAmendmentIsInForceEverywhere(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	a, b := f.entry("entry-a"), f.entry("entry-b")
+	f.worker("worker-1")
+	f.settled()
+	ctx := t.Context()
+	op := operator.New(operator.Options{Address: a.url(), Token: token})
+	was, err := op.Get(ctx, record.KindService, "ayni/reserva")
+	f.Assert(err, qt.IsNil)
+	value := []byte(`{"kind":"service","name":"ayni/reserva","schema":1,"path":"/","max_tasks":1}`)
+	began := time.Now()
+	now, err := op.Put(ctx, value, was.Revision)
+	f.Assert(err, qt.IsNil)
+	for _, e := range []*entryProcess{a, b} {
+		f.eventually("the amendment is in force at entry and guard", func() bool {
+			var st struct {
+				Revision int64
+				Behind   int `json:"guards_behind"`
+			}
+			err := json.Unmarshal([]byte(f.get(e, "/v1/status")), &st)
+			return err == nil && st.Revision >= now.Revision && st.Behind == 0
+		})
+		ans := <-f.submitted(caller(e), f.ticket(e), job(1, 2))
+		f.Assert(ans.Parsed.Error.Kind, qt.Equals, "too_many_tasks")
+	}
+	f.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+	_, err = operator.New(operator.Options{Address: b.url(), Token: token}).Put(ctx, value, was.Revision)
+	f.Assert(operator.ExitCode(err), qt.Equals, operator.ExitConflict, qt.Commentf("%v", err))
+}
