confsync, store: slow store, lagging endpoint, answers that are not the store's

Cause: a check of the watch that timed out ended the watch, which was the one channel that still worked; an endpoint that lags was asked for ever; an empty JSON object from something in between read as a conflict or as no records.

Ruled out: the check inside the loop that applies changes.

Change: a check without answer leaves the watch; an answer from the past and a stale watch turn to the next endpoint; an answer without a revision is no answer.

Seen failing first against: a failed check taken as a stale watch, the same endpoint asked again, answers without revision accepted.

--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -32,9 +32,8 @@
 	batches := make(chan store.Batch, batchQueue)
 	ended := make(chan error, 1)
 	go func() { ended <- s.o.Store.Watch(ctx, store.RecordPrefix, revision, batches) }()
-	verify := time.NewTimer(jitter(s.o.VerifyEvery))
-	defer verify.Stop()
-	suspect := false
+	stale := make(chan struct{})
+	go s.verifyUntilStale(ctx, stale)
 	for {
 		select {
 		case b, ok := <-batches:
@@ -42,17 +41,28 @@
 				return <-ended
 			}
 			s.apply(b)
-		case <-verify.C:
-			behind, err := s.verify(ctx)
-			if err != nil {
-				return err
-			}
-			if behind && suspect {
-				return errStale
-			}
-			suspect = behind
-			verify.Reset(s.nextVerify(suspect))
+		case <-stale:
+			return errStale
+		}
+	}
+}
+
+// verifyUntilStale checks from time to time until the watch is found to have
+// left out a change, and closes stale then. It runs beside the watch: a slow
+// check must not hold up the changes that the watch delivers.
+func (s *Sync) verifyUntilStale(ctx context.Context, stale chan<- struct{}) {
+	suspect := false
+	for {
+		sleep(ctx, s.nextVerify(suspect))
+		if ctx.Err() != nil {
+			return
+		}
+		behind := s.verify(ctx)
+		if behind && suspect {
+			close(stale)
+			return
 		}
+		suspect = behind
 	}
 }
 
@@ -105,18 +115,40 @@
 // open and silent: its server hangs, or a balancer holds the connection of a
 // server that has gone. The entry would then obey an old configuration with
 // nothing to show for it.
-func (s *Sync) verify(ctx context.Context) (behind bool, err error) {
+//
+// A check that gets no answer leaves the watch as it is: a store too slow for
+// its calls may well go on delivering, and a watch given up then could not be
+// opened again.
+func (s *Sync) verify(ctx context.Context) (behind bool) {
 	latest, err := s.latest(ctx)
+	if ctx.Err() != nil {
+		return false
+	}
 	if err != nil {
-		return false, err
+		s.count("store.failed")
+		s.noteStore(false, err)
+		return false
 	}
 	s.noteStore(true, nil)
 	snap := s.Current()
 	if latest.Revision < snap.Revision {
-		s.count("store.past")
-		return false, nil
+		s.notePast()
+		return false
+	}
+	return latest.ModRevision > snap.Revision || latest.Count != int64(snap.Len())
+}
+
+func (s *Sync) notePast() {
+	s.count("store.past")
+	s.nextEndpoint()
+}
+
+// nextEndpoint turns to another endpoint of the store: one that lags or hangs
+// may do so for long.
+func (s *Sync) nextEndpoint() {
+	if r, ok := s.o.Store.(rotator); ok {
+		r.NextEndpoint()
 	}
-	return latest.ModRevision > snap.Revision || latest.Count != int64(snap.Len()), nil
 }
 
 func (s *Sync) latest(ctx context.Context) (store.Latest, error) {
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -55,6 +55,9 @@
 	Latest(ctx context.Context, prefix string) (store.Latest, error)
 }
 
+// rotator is a store with several endpoints.
+type rotator interface{ NextEndpoint() }
+
 // Sync holds the configuration in force.
 type Sync struct {
 	o       Options
@@ -225,8 +228,9 @@
 		s.count("watch.compacted")
 	case errors.Is(err, errStale):
 		s.count("watch.stale")
+		s.nextEndpoint()
 	case errors.Is(err, errPast):
-		s.count("store.past")
+		s.notePast()
 	default:
 		s.count("store.failed")
 		s.noteStore(false, err)
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -318,3 +319,53 @@
 		f.Assert(f.sync.Acks(), qt.DeepEquals, map[string]int64{"guard-2": revision})
 	})
 }
+
+// The store takes longer for each call than a call may take, but goes on
+// delivering on watches that are open. Changes must still be in force, and the
+// entry must not give up the one channel that works.
+func TestStoreTooSlowForCalls(t *testing.T) {
+	run(t, func(f *fixture) {
+		revision := f.write("lima", 0)
+		f.server.SetDelay(time.Minute)
+		time.Sleep(10 * time.Minute)
+		f.Assert(f.sync.StoreUp(), qt.IsFalse)
+		f.server.SetDelay(0)
+		f.write("cusco", revision)
+		f.Assert(region(f.sync), qt.Equals, "cusco")
+		f.Assert(f.server.Calls("/v3/watch"), qt.Equals, 1)
+	})
+}
+
+// One of two endpoints of the store lags behind for hours. An entry that goes
+// on asking it would obey no change in all that time.
+func TestEndpointThatLagsIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		lagging, fresh := standin.New(), standin.New()
+		defer lagging.Close()
+		defer fresh.Close()
+		hosts := http.NewServeMux()
+		hosts.Handle("lagging/", lagging)
+		hosts.Handle("fresh/", fresh)
+		s := New(Options{Store: store.NewEtcd(store.Options{
+			Endpoints: []string{"http://lagging", "http://fresh"}, Transport: &standin.Transport{Handler: hosts},
+		})})
+		fill := func(server *standin.Server, region string) {
+			e := store.NewEtcd(store.Options{Endpoints: []string{"http://x"}, Transport: &standin.Transport{Handler: server}})
+			_, err := e.Put(t.Context(), record.Key(record.KindMember, "ayni"), member(region), server.Revision()/2*2, 0)
+			c.Assert(err, qt.IsNil)
+		}
+		fill(fresh, "lima")
+		fill(fresh, "cusco")
+		peer := record.Build(nil, []record.Raw{{Key: record.Key(record.KindMember, "ayni"), Value: member("lima"), ModRevision: 2}}, 2)
+		b, err := peer.Encode()
+		c.Assert(err, qt.IsNil)
+		_, err = s.Offer(b)
+		c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = s.Run(ctx) }()
+		time.Sleep(inForceWithin)
+		c.Assert(region(s), qt.Equals, "cusco")
+	})
+}
--- a/internal/store/etcd.go
+++ b/internal/store/etcd.go
@@ -186,10 +186,7 @@
 	if err != nil {
 		return err
 	}
-	if msg.Error != nil {
-		return fmt.Errorf("store keepalive: %w", errorOf(http.StatusInternalServerError, *msg.Error))
-	}
-	if msg.Result == nil || msg.Result.TTL <= 0 {
+	if msg.Result.TTL <= 0 {
 		return fmt.Errorf("store keepalive: %w", ErrLeaseGone)
 	}
 	return nil
@@ -206,16 +203,25 @@
 }
 
 // read does an idempotent call, on each endpoint in turn until one answers.
-func (e *Etcd) read(ctx context.Context, method, path string, req, resp any) error {
+func (e *Etcd) read(ctx context.Context, method, path string, req any, resp answer) error {
 	return e.try(ctx, method, path, req, resp, func(err error) bool { return errors.Is(err, ErrUnavailable) })
 }
 
 // write does a call that must not be repeated. Another endpoint is tried only
 // when no connection could be made, that is, when nothing was sent.
-func (e *Etcd) write(ctx context.Context, method, path string, req, resp any) error {
+func (e *Etcd) write(ctx context.Context, method, path string, req any, resp answer) error {
 	return e.try(ctx, method, path, req, resp, neverSent)
 }
 
+// NextEndpoint makes later calls start at another endpoint, for a caller that
+// finds this one's answers wanting.
+func (e *Etcd) NextEndpoint() {
+	if n := uint32(len(e.endpoints)); n > 0 {
+		e.preferred.Store((e.preferred.Load() + 1) % n)
+	}
+}
+
+// neverSent tells whether err proves that the service saw nothing of the call.
 func neverSent(err error) bool { return errors.Is(err, ErrNotSent) }
 
 // sendError sorts a failure of the transport: without a connection nothing was
@@ -227,7 +233,7 @@
 	return ErrUnavailable
 }
 
-func (e *Etcd) try(ctx context.Context, method, path string, req, resp any, again func(error) bool) error {
+func (e *Etcd) try(ctx context.Context, method, path string, req any, resp answer, again func(error) bool) error {
 	body, err := json.Marshal(req)
 	if err != nil {
 		return fmt.Errorf("store %s: %w", method, err)
@@ -252,7 +258,7 @@
 }
 
 // once does one attempt: one call in the service's accounts.
-func (e *Etcd) once(ctx context.Context, method, url string, body []byte, resp any) error {
+func (e *Etcd) once(ctx context.Context, method, url string, body []byte, resp answer) error {
 	ctx, cancel := context.WithTimeout(ctx, e.timeout)
 	defer cancel()
 	start := time.Now()
@@ -261,8 +267,7 @@
 		return err
 	}
 	defer r.Body.Close()
-	err = json.NewDecoder(io.LimitReader(r.Body, maxAnswer)).Decode(resp)
-	if err != nil {
+	if err := decodeAnswer(r.Body, resp); err != nil {
 		e.count(method, "failed")
 		return fmt.Errorf("%w: answer: %w", ErrUnavailable, err)
 	}
@@ -270,6 +275,25 @@
 	return nil
 }
 
+// errNoRevision means that an answer lacks what every answer of etcd has.
+var errNoRevision = errors.New("no revision in it")
+
+// decodeAnswer reads an answer. One without a revision does not come from the
+// service but from something in between; an empty object would otherwise read
+// as a conflict, or as a store without records.
+func decodeAnswer(body io.Reader, resp answer) error {
+	if err := json.NewDecoder(io.LimitReader(body, maxAnswer)).Decode(resp); err != nil {
+		return err
+	}
+	if resp.StoreRevision() <= 0 {
+		return errNoRevision
+	}
+	return nil
+}
+
+// answer is the answer to one call.
+type answer interface{ StoreRevision() int64 }
+
 // noteLatency uses a histogram, as a Timer or Meter of go-metrics starts a
 // goroutine that never ends.
 func (e *Etcd) noteLatency(method string, d time.Duration) {
--- a/internal/store/etcd_test.go
+++ b/internal/store/etcd_test.go
@@ -228,3 +228,23 @@
 	_, err := e.Put(t.Context(), "/a", make([]byte, 1<<20+1), 0, 0)
 	qt.Assert(t, err, qt.ErrorIs, store.ErrRefused)
 }
+
+// Something between the client and the store answers in its place: a login
+// page, a balancer's own 200, half an answer. An empty object must not read as
+// "no records" or "somebody else won".
+func TestAnswersThatAreNotTheStores(t *testing.T) {
+	for _, body := range []string{"", "{}", "null", "<html>", `{"header":{}}`, `{"succeeded":true`, `{"result":{}}`, `{"header":{"revision":"x"}}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, body) }))
+		e := store.NewEtcd(store.Options{Endpoints: []string{server.URL}})
+		_, _, err := e.Range(t.Context(), "/a")
+		qt.Check(t, err, qt.ErrorIs, store.ErrUnavailable, qt.Commentf(body))
+		_, err = e.Put(t.Context(), "/a", nil, 1, 0)
+		qt.Check(t, err, qt.ErrorIs, store.ErrUnavailable, qt.Commentf(body))
+		_, err = e.Grant(t.Context(), time.Second)
+		qt.Check(t, err, qt.ErrorIs, store.ErrUnavailable, qt.Commentf(body))
+		qt.Check(t, e.KeepAlive(t.Context(), 1), qt.ErrorIs, store.ErrUnavailable, qt.Commentf(body))
+		err = e.Watch(t.Context(), "/a", 1, make(chan store.Batch, 1))
+		qt.Check(t, err, qt.ErrorIs, store.ErrUnavailable, qt.Commentf(body))
+		server.Close()
+	}
+}
--- a/internal/store/etcdjson/etcdjson.go
+++ b/internal/store/etcdjson/etcdjson.go
@@ -35,6 +35,23 @@
 	Revision int64 `json:"revision,string,omitempty"`
 }
 
+// StoreRevision gives the store's revision when it answered.
+func (r *RangeResponse) StoreRevision() int64 { return r.Header.Revision }
+
+// StoreRevision gives the store's revision when it answered.
+func (r *TxnResponse) StoreRevision() int64 { return r.Header.Revision }
+
+// StoreRevision gives the store's revision when it answered.
+func (r *LeaseResponse) StoreRevision() int64 { return r.Header.Revision }
+
+// StoreRevision gives the store's revision when it answered.
+func (r *KeepAliveMessage) StoreRevision() int64 {
+	if r.Result == nil {
+		return 0
+	}
+	return r.Result.Header.Revision
+}
+
 // KeyValue is one key with its value.
 type KeyValue struct {
 	Key            []byte `json:"key,omitempty"`
