--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -38,6 +38,9 @@
 	Store store.Store
 	// Registry takes the counters; nil is a registry of its own.
 	Registry metrics.Registry
+	// Sealer protects snapshots on their way through peers and guards; nil
+	// sends them in the clear to peers and not at all to guards.
+	Sealer *record.Sealer
 	// Logger takes lines on changes of state; nil is silent.
 	Logger *log.Logger
 	// BackoffMin and BackoffMax bound the pause after a failure of the store.
@@ -64,6 +67,7 @@
 	current atomic.Pointer[record.Snapshot]
 	ready   chan struct{} // closed once a snapshot was obtained
 	storeUp atomic.Bool
+	shared  atomic.Pointer[shared]
 
 	mu          sync.Mutex // guards changes of current, and what follows
 	subscribers map[int]chan struct{}
@@ -133,22 +137,6 @@
 	}
 }
 
-// Offer takes a snapshot that a peer or a guard holds, encoded by record. It
-// tells whether it is now in force.
-func (s *Sync) Offer(encoded []byte) (bool, error) {
-	snap, err := record.Decode(s.current.Load(), encoded)
-	if err != nil {
-		s.count("offers.malformed")
-		return false, err
-	}
-	if !s.install(snap) && !s.adopt(encoded) {
-		s.count("offers.old")
-		return false, nil
-	}
-	s.count("offers.taken")
-	return true, nil
-}
-
 // install puts snap in force if it is newer than what is.
 func (s *Sync) install(snap *record.Snapshot) bool {
 	s.mu.Lock()
--- a/internal/record/fuzz_test.go
+++ b/internal/record/fuzz_test.go
@@ -35,7 +35,15 @@
 		f.Fatal(err)
 	}
 	f.Add(b)
+	guard, err := s.EncodeForGuard("ayni/reserva", b)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(guard)
 	f.Fuzz(func(t *testing.T, b []byte) {
+		if g, err := DecodeForGuard(b); err == nil && g.Revision <= 0 {
+			t.Fatalf("revision %d", g.Revision)
+		}
 		got, err := Decode(s, b)
 		if err != nil {
 			return
--- /dev/null
+++ b/internal/record/seal.go
@@ -0,0 +1,50 @@
+package record
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"fmt"
+)
+
+// Derivation of the sealing key.
+const (
+	sealInfo   = "wigeontray configuration snapshot 1"
+	sealKeyLen = 32 // bytes: AES-256
+)
+
+// Sealer encrypts and authenticates snapshots under a key that only entries
+// have. Guards run on the members' machines and hold a snapshot for entries
+// that start during an outage of the store. Unsealed, a member could read its
+// rivals' records there, or hand an entry a configuration of its own making.
+type Sealer struct{ aead cipher.AEAD }
+
+// NewSealer derives a Sealer from the entries' key.
+func NewSealer(key string) (*Sealer, error) {
+	derived, err := hkdf.Key(sha256.New, []byte(key), nil, sealInfo, sealKeyLen)
+	if err != nil {
+		return nil, fmt.Errorf("sealing key: %w", err)
+	}
+	block, err := aes.NewCipher(derived)
+	if err != nil {
+		return nil, fmt.Errorf("sealing key: %w", err)
+	}
+	aead, err := cipher.NewGCMWithRandomNonce(block)
+	if err != nil {
+		return nil, fmt.Errorf("sealing key: %w", err)
+	}
+	return &Sealer{aead}, nil
+}
+
+// Seal gives the sealed form of an encoded snapshot.
+func (s *Sealer) Seal(b []byte) []byte { return s.aead.Seal(nil, nil, b, nil) }
+
+// Open gives what was sealed, or an error if it was not sealed under this key.
+func (s *Sealer) Open(b []byte) ([]byte, error) {
+	plain, err := s.aead.Open(nil, nil, b, nil)
+	if err != nil {
+		return nil, fmt.Errorf("sealed snapshot: %w", err)
+	}
+	return plain, nil
+}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -122,17 +122,20 @@
 const minKeyLen = 16
 
 // Key reads the shared key; empty without a KeyFile.
-func (f *Fleet) Key() (string, error) {
-	if f.KeyFile == "" {
+func (f *Fleet) Key() (string, error) { return readKey("key_file", f.KeyFile) }
+
+// readKey reads a key of section fleet from its file.
+func readKey(setting, file string) (string, error) {
+	if file == "" {
 		return "", nil
 	}
-	b, err := os.ReadFile(f.KeyFile)
+	b, err := os.ReadFile(file)
 	if err != nil {
-		return "", fmt.Errorf("[fleet] key_file: %w", err)
+		return "", fmt.Errorf("[fleet] %s: %w", setting, err)
 	}
 	key := strings.TrimSpace(string(b))
 	if len(key) < minKeyLen {
-		return "", fmt.Errorf("[fleet] key_file: %s holds fewer than %d bytes", f.KeyFile, minKeyLen)
+		return "", fmt.Errorf("[fleet] %s: %s holds fewer than %d bytes", setting, file, minKeyLen)
 	}
 	return key, nil
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -22,12 +22,15 @@
 
 	Peers []string // inner addresses, used until the roster is known
 
-	Store     Store
-	TLS       TLS
-	Fleet     Fleet
-	Operators Operators
-	Limits    EntryLimits
-	Log       Log
+	Store Store
+	TLS   TLS
+	Fleet Fleet
+	// ConfigKeyFile is the path of the file with the key under which snapshots
+	// of the configuration are sealed; empty for none.
+	ConfigKeyFile string
+	Operators     Operators
+	Limits        EntryLimits
+	Log           Log
 }
 
 // Store tells how the platform's store is reached.
@@ -76,6 +79,7 @@
 	tlsFields(func(e *Entry) *TLS { return &e.TLS }),
 	fleetFields(func(e *Entry) *Fleet { return &e.Fleet }),
 	[]field[Entry]{
+		text("fleet", "config_key_file", "", "File with the key that all entries, and no guard, share; at least 16 bytes. With it guards keep the configuration, sealed, for entries that start while the store is down.", func(e *Entry) *string { return &e.ConfigKeyFile }),
 		hash("operators", "consortium_token_sha256", "SHA-256, in hexadecimal, of the token that may create, amend and delete member records.", func(e *Entry) *string { return &e.Operators.ConsortiumTokenSHA256 }),
 		integer("limits", "body_bytes", "bytes", 8*mib, kib, 64*mib, "Largest body of a submission.", func(e *Entry) *int64 { return &e.Limits.Body }),
 		headerTimeout(func(e *Entry) *time.Duration { return &e.Limits.HeaderTimeout }),
@@ -97,6 +101,9 @@
 	return out
 }
 
+// ConfigKey reads the key that seals snapshots; empty without a ConfigKeyFile.
+func (e *Entry) ConfigKey() (string, error) { return readKey("config_key_file", e.ConfigKeyFile) }
+
 // DefaultEntry gives the defaults; names and addresses are missing.
 func DefaultEntry() *Entry {
 	e := new(Entry)
