--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"crypto/subtle"
 	"errors"
@@ -40,6 +41,7 @@
 	raw      map[string]Raw // as the store holds them
 	held     map[string]Raw // obeyed in place of a rejected one
 	rejected []Rejected
+	parsed   map[string]*Parsed // the records in force as the store holds them
 
 	members  map[string]*Member
 	services map[string]*Service
@@ -62,6 +64,7 @@
 	s := &Snapshot{
 		Revision: revision,
 		raw:      make(map[string]Raw, len(raw)), held: map[string]Raw{},
+		parsed:  make(map[string]*Parsed, len(raw)),
 		members: map[string]*Member{}, services: map[string]*Service{},
 		policies: map[string]*Policy{}, jobs: map[string]*Job{},
 	}
@@ -76,8 +79,9 @@
 }
 
 func (s *Snapshot) add(before *Snapshot, r Raw) {
-	p, err := parseRaw(r)
+	p, err := before.parse(r)
 	if err == nil {
+		s.parsed[r.Key] = p
 		s.put(p)
 		return
 	}
@@ -92,6 +96,16 @@
 	s.rejected = append(s.rejected, rej)
 }
 
+// parse is parseRaw, but for a record that s has read already.
+func (s *Snapshot) parse(r Raw) (*Parsed, error) {
+	if s != nil && bytes.Equal(s.raw[r.Key].Value, r.Value) {
+		if p, ok := s.parsed[r.Key]; ok {
+			return p, nil
+		}
+	}
+	return parseRaw(r)
+}
+
 func parseRaw(r Raw) (*Parsed, error) {
 	kind, name, err := ParseKey(r.Key)
 	if err != nil {
