sched: a job is kept together; probed workers are reached; tests of the faults

A worker that came back from quarantine was never probed in a quiet fleet, as its limit of one task made it look the fullest. Change: a worker in a domain where the job has tasks is preferred; a probed worker counts with all its slots up to its limit. Conclusion: keep a job together; a whole-or-failed answer turns the usual advice round.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -50,7 +50,7 @@
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
 			c := bigCore(n)
-			t := &task{}
+			t := &task{job: &job{}}
 			b.ReportAllocs()
 			for b.Loop() {
 				if c.place(t) == sched.NoWorker {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -200,7 +200,7 @@
 
 // place chooses a worker for t, or sched.NoWorker.
 func (c *Core) place(t *task) int {
-	q := sched.Query{Domain: c.domains.number(c.policy.Domain), Avoid: t.refused}
+	q := sched.Query{Domain: c.domains.number(c.policy.Domain), Avoid: t.refused, Held: t.job.held}
 	switch c.policy.Placement {
 	case Random:
 		return sched.AnyUsable(c.pool.Workers, &q, c.rng)
@@ -217,8 +217,8 @@
 
 // Doubt about old load reports.
 const (
-	pollEvery = 20 * time.Millisecond
-	staleLoad = 100 * time.Millisecond
+	pollEvery = 10 * time.Millisecond
+	staleLoad = 30 * time.Millisecond
 )
 
 // poll doubts old reports while tasks wait: each round takes one task off what
@@ -245,6 +245,7 @@
 	start.Offered = offer
 	c.flights[start.Ref] = &flight{ref: start.Ref, task: t, guard: g, sent: now, queued: start.WaitMs > 0}
 	c.addOwn(at, 1)
+	t.job.held.Add(&c.pool.Workers[at])
 	c.rate.Started()
 	if len(t.refused) == 0 {
 		c.budget.First(c.policy.RetryRatio)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -41,6 +41,7 @@
 	tasks   []task
 	open    int // tasks without a result
 	slowest time.Duration
+	held    sched.Sites // where its tasks were sent
 }
 
 func newJob(s *Spec, now time.Time) *job {
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -97,6 +97,8 @@
 		}
 	case OpWorking:
 		g.failing, g.factor = false, 1
+	case OpWarm:
+		g.factor = 1
 	case OpSlow:
 		g.factor = ev.Factor
 	default:
--- a/internal/replay/parse.go
+++ b/internal/replay/parse.go
@@ -263,7 +263,7 @@
 }
 
 // faults are the operations that name one process.
-var faults = []Op{OpKill, OpRestart, OpPause, OpResume, OpDrain, OpFailing, OpWorking, OpUnhealthy, OpHealthy, OpSlow}
+var faults = []Op{OpKill, OpRestart, OpPause, OpResume, OpDrain, OpFailing, OpWorking, OpUnhealthy, OpHealthy, OpSlow, OpWarm}
 
 func (t *Trace) readEvent(w *words) error {
 	at, err := w.duration()
--- a/internal/replay/scenario.go
+++ b/internal/replay/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"wigeontray/internal/dispatch"
@@ -82,7 +83,7 @@
 	out := []*Trace{
 		s.loaded("load-50", 0.5), s.loaded("load-80", 0.8), s.loaded("load-95", 0.95),
 		s.singles(), s.overload(), s.brokenWorker(), s.slowWorker(), s.cancelWaves(), s.burst(),
-		s.guardRestart(), s.entryRestart(), s.domainReturn(), s.allBroken(),
+		s.guardRestart(), s.entryRestart(), s.domainReturn(), s.coldReturn(), s.domainLosses(), s.allBroken(),
 	}
 	return out
 }
@@ -171,6 +172,21 @@
 	return t
 }
 
+// coldReturn is domainReturn with upstreams that run five times as long in their
+// first three seconds, as with empty caches.
+func (s Site) coldReturn() *Trace {
+	t := s.domainReturn()
+	t.Name = "cold-return"
+	for _, ev := range slices.Clone(t.Events) {
+		if ev.Op == OpRestart {
+			t.Events = append(t.Events,
+				Event{At: ev.At, Op: OpSlow, Target: ev.Target, Factor: 5},
+				Event{At: ev.At + 3*second, Op: OpWarm, Target: ev.Target})
+		}
+	}
+	return t
+}
+
 // allBroken lets every upstream fail for ten seconds: a fault of the fleet.
 func (s Site) allBroken() *Trace {
 	t := s.loaded("all-workers-fail", 0.5)
@@ -181,3 +197,19 @@
 	}
 	return t
 }
+
+// domainLosses kills the workers of one failure domain after the other.
+func (s Site) domainLosses() *Trace {
+	t := s.loaded("domain-losses", 0.5)
+	for i := range 11 {
+		at := warmUp + time.Duration(i)*5*second
+		for _, w := range t.Workers {
+			if w.Domain == s.Domains[i%len(s.Domains)] {
+				t.Events = append(t.Events,
+					Event{At: at, Op: OpKill, Target: w.Name},
+					Event{At: at + 2*second, Op: OpRestart, Target: w.Name})
+			}
+		}
+	}
+	return t
+}
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -69,6 +69,7 @@
 	OpFailing   Op = "failing"   // the upstream fails every task at once
 	OpWorking   Op = "working"   // the upstream is sound and of full speed
 	OpSlow      Op = "slow"      // the upstream takes Factor times as long
+	OpWarm      Op = "warm"      // the upstream is of full speed; no return by itself
 	OpUnhealthy Op = "unhealthy" // the guard finds its upstream down
 	OpHealthy   Op = "healthy"
 	OpStoreDown Op = "store-down" // configuration cannot be read
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -19,6 +19,7 @@
 type Query struct {
 	Domain uint16  // failure domain of the entry that asks
 	Avoid  []int32 // workers that gave their final word on the task
+	Held   Sites   // where the job already has tasks
 }
 
 func (q *Query) avoids(i int32) bool {
@@ -55,15 +56,47 @@
 	return best
 }
 
-// score orders workers: free slots first, then the entry's own domain.
+// Sites is a set of failure domains and racks. Numbers from 64 on share a bit,
+// which only blurs a preference.
+type Sites struct{ domains, racks uint64 }
+
+// Add puts the worker's domain and rack into the set.
+func (s *Sites) Add(w *Worker) {
+	s.domains |= 1 << (w.Domain % 64)
+	s.racks |= 1 << (w.Rack % 64)
+}
+
+func (s *Sites) hasDomain(w *Worker) bool { return s.domains&(1<<(w.Domain%64)) != 0 }
+func (s *Sites) hasRack(w *Worker) bool   { return s.racks&(1<<(w.Rack%64)) != 0 }
+
+// Weights of a worker's score.
+const (
+	freeWeight   = 2  // a slot believed free
+	nearWeight   = 1  // it is in the entry's own domain
+	domainWeight = 16 // the job already has tasks in its domain
+	rackWeight   = 2  // and in its rack
+)
+
+// score orders workers with a free slot: first those in a domain where the job
+// already has tasks, then by free slots, then those near the entry.
+//
+// A job fails as a whole when one of its tasks is lost. Spread over all domains
+// it is hit by the loss of any; kept together, by that of one only.
 func score(w *Worker, q *Query) int32 {
-	free := w.Free()
-	if free <= 0 {
+	if w.Free() <= 0 {
 		return 0
 	}
-	s := free * 2
+	// A worker that is probed counts with all its slots: by its limit it would
+	// come last, and in a quiet fleet never be probed.
+	s := (w.Slots - w.Own - w.Others) * freeWeight
 	if w.Domain == q.Domain {
-		s++
+		s += nearWeight
+	}
+	if q.Held.hasDomain(w) {
+		s += domainWeight
+	}
+	if q.Held.hasRack(w) {
+		s += rackWeight
 	}
 	return s
 }
