--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -1,8 +1,10 @@
 package confsync
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,6 +163,75 @@
 	})
 }
 
+// sealed gives a Sync with a sealing key that follows no store.
+func (f *fixture) sealed(key string) *Sync {
+	sealer, err := record.NewSealer(key)
+	f.Assert(err, qt.IsNil)
+	return New(Options{Store: f.client(), Sealer: sealer})
+}
+
+// Every entry and the store are gone; only guards still hold the configuration.
+// A new entry takes it from one of them, while the guard, on a member's machine,
+// can read its own service in it and nothing of a rival.
+func TestGuardsKeepTheConfigurationForANewEntry(t *testing.T) {
+	run(t, func(f *fixture) {
+		_, err := f.client().Put(f.t.Context(), record.Key(record.KindService, "ayni/reserva"),
+			[]byte(`{"kind":"service","name":"ayni/reserva","schema":2,"path":"/own"}`), 0, 0)
+		f.Assert(err, qt.IsNil)
+		revision := f.write("secret-region", 0)
+		b, _, err := f.sync.Encoded()
+		f.Assert(err, qt.IsNil)
+		old := f.sealed("key of the entries")
+		_, err = old.take(b)
+		f.Assert(err, qt.IsNil)
+
+		held, got, err := old.EncodedFor("ayni/reserva")
+		f.Assert(err, qt.IsNil)
+		f.Assert(got, qt.Equals, revision)
+		f.Assert(bytes.Contains(held, []byte("secret-region")), qt.IsFalse)
+		g, err := record.DecodeForGuard(held)
+		f.Assert(err, qt.IsNil)
+		f.Assert(g.Service.Path, qt.Equals, "/own")
+
+		late := f.sealed("key of the entries")
+		taken, err := late.OfferFromGuard(held)
+		f.Assert(err, qt.IsNil)
+		f.Assert(taken, qt.IsTrue)
+		f.Assert(region(late), qt.Equals, "secret-region")
+		f.Assert(late.Revision(), qt.Equals, revision)
+	})
+}
+
+// A member makes up a configuration on the machine of its guard and offers it
+// with a revision above all others. An entry that took it would obey that member
+// in the place of the operators, for good.
+func TestForgedConfigurationIsRefused(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.write("lima", 0)
+		forged := record.Build(nil, []record.Raw{{Key: record.Key(record.KindMember, "ayni"), Value: member("forged"), ModRevision: 1}}, 1<<60)
+		plain, err := forged.Encode()
+		f.Assert(err, qt.IsNil)
+		other := f.sealed("a key that the member chose")
+		_, err = other.take(plain)
+		f.Assert(err, qt.IsNil)
+		sealedByOther, _, _ := other.EncodedFor("ayni/reserva")
+		inTheClear, err := forged.EncodeForGuard("ayni/reserva", plain)
+		f.Assert(err, qt.IsNil)
+
+		victim := f.sealed("key of the entries")
+		for _, b := range [][]byte{sealedByOther, inTheClear, plain, nil} {
+			_, err := victim.OfferFromGuard(b)
+			f.Assert(err, qt.IsNotNil)
+		}
+		_, err = victim.Offer(plain)
+		f.Assert(err, qt.IsNotNil)
+		_, err = f.sync.OfferFromGuard(inTheClear) // an entry without a key
+		f.Assert(err, qt.IsNotNil)
+		f.Assert(victim.Ready(), qt.IsFalse)
+		f.Assert(region(f.sync), qt.Equals, "lima")
+	})
+}
+
 // A watch stays open but delivers nothing more, as when the server behind a
 // balancer has gone. Without a check of its own the entry would obey the old
 // configuration until somebody wonders why.
@@ -318,3 +389,53 @@
 		f.Assert(f.sync.Acks(), qt.DeepEquals, map[string]int64{"guard-2": revision})
 	})
 }
+
+// The store takes longer for each call than a call may take, but goes on
+// delivering on watches that are open. Changes must still be in force, and the
+// entry must not give up the one channel that works.
+func TestStoreTooSlowForCalls(t *testing.T) {
+	run(t, func(f *fixture) {
+		revision := f.write("lima", 0)
+		f.server.SetDelay(time.Minute)
+		time.Sleep(10 * time.Minute)
+		f.Assert(f.sync.StoreUp(), qt.IsFalse)
+		f.server.SetDelay(0)
+		f.write("cusco", revision)
+		f.Assert(region(f.sync), qt.Equals, "cusco")
+		f.Assert(f.server.Calls("/v3/watch"), qt.Equals, 1)
+	})
+}
+
+// One of two endpoints of the store lags behind for hours. An entry that goes
+// on asking it would obey no change in all that time.
+func TestEndpointThatLagsIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		lagging, fresh := standin.New(), standin.New()
+		defer lagging.Close()
+		defer fresh.Close()
+		hosts := http.NewServeMux()
+		hosts.Handle("lagging/", lagging)
+		hosts.Handle("fresh/", fresh)
+		s := New(Options{Store: store.NewEtcd(store.Options{
+			Endpoints: []string{"http://lagging", "http://fresh"}, Transport: &standin.Transport{Handler: hosts},
+		})})
+		fill := func(server *standin.Server, region string) {
+			e := store.NewEtcd(store.Options{Endpoints: []string{"http://x"}, Transport: &standin.Transport{Handler: server}})
+			_, err := e.Put(t.Context(), record.Key(record.KindMember, "ayni"), member(region), server.Revision()/2*2, 0)
+			c.Assert(err, qt.IsNil)
+		}
+		fill(fresh, "lima")
+		fill(fresh, "cusco")
+		peer := record.Build(nil, []record.Raw{{Key: record.Key(record.KindMember, "ayni"), Value: member("lima"), ModRevision: 2}}, 2)
+		b, err := peer.Encode()
+		c.Assert(err, qt.IsNil)
+		_, err = s.Offer(b)
+		c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = s.Run(ctx) }()
+		time.Sleep(inForceWithin)
+		c.Assert(region(s), qt.Equals, "cusco")
+	})
+}
