A planned stop waits to be off the roster; the ceiling is a setting

Cause: a stopping entry refused fresh jobs three seconds after it had begun to leave. Until a roster without it begins, about six seconds, no other entry may start the plain identities that it owns, so their callers were refused.

Change: it takes fresh jobs until it is off the roster, ten seconds at most when the store is down. The ceiling is ceiling_ms in [roster]; roster versions are kept for twice as long as jobs are remembered.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -22,6 +22,7 @@
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
 	"wigeontray/internal/peers"
+	"wigeontray/internal/roster"
 	"wigeontray/internal/seal"
 	"wigeontray/internal/settings"
 	"wigeontray/internal/store"
@@ -126,6 +127,7 @@
 	traffic := new(wire.Traffic)
 	router, bind := entry.NewPeerRouter(peers.Options{
 		Self: self, Region: e.set.Region, Key: key, Store: kv, Seeds: e.set.Peers,
+		Roster:   e.rosterOptions(),
 		Dial:     dialPeer(dialTLS, traffic),
 		OnGone:   func(p identity.Incarnation) { e.log.Warn("entry declared gone", "entry", p) },
 		OnFenced: func() { close(e.fenced) },
@@ -146,6 +148,15 @@
 	return nil
 }
 
+// rosterOptions keeps roster versions for longer than any job is remembered: a
+// birth whose version was forgotten could not be answered from the record.
+func (e *Entry) rosterOptions() roster.Options {
+	return roster.Options{
+		Lead:      e.set.Roster.Ceiling,
+		Retention: max(roster.DefaultRetention, 2*e.set.Limits.Retention),
+	}
+}
+
 // dialPeer opens links to other entries, with TLS if it is configured.
 func dialPeer(conf *tls.Config, traffic *wire.Traffic) func(context.Context, wire.EntryAddr) (wire.Link, error) {
 	scheme, transport := "ws", &http.Transport{}
@@ -221,35 +232,42 @@
 // elsewhere while all requests are still served; then fresh jobs are refused
 // and open ones finish; only then do connections close.
 func (e *Entry) stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), lameDuck+e.set.Limits.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), lameDuck+leavePatience+e.set.Limits.DrainTimeout)
 	defer cancel()
 	e.log.Info("entry leaves")
 	e.server.Leave()
-	left := make(chan error, 1)
-	if e.Abrupt {
-		left <- nil
-	} else {
-		go func() { left <- e.router.Leave(ctx) }()
+	if !e.Abrupt {
+		left := make(chan struct{})
+		go func() { e.leaveRoster(ctx); close(left) }()
 		sleep(ctx, lameDuck)
+		<-left
 	}
 	err := e.server.Drain(ctx)
 	if err != nil {
 		err = fmt.Errorf("stop cut off open jobs: %w", err)
 	}
 	err = errors.Join(err, e.callers.Stop(ctx))
-	select {
-	case lerr := <-left:
-		if lerr != nil {
-			e.log.Warn("could not leave the roster; others will notice the end of links", "err", lerr)
-		}
-	case <-ctx.Done():
-	}
 	e.server.Close()
 	sleep(ctx, flushTime)
 	e.log.Info("entry stopped")
 	return errors.Join(err, e.closeListeners())
 }
 
+// leavePatience is how long a stopping entry waits to be off the roster. It takes
+// about six seconds, and does not come about while the store is down.
+const leavePatience = 10 * time.Second
+
+// leaveRoster takes this entry off the roster while it still takes fresh jobs.
+// If it refused them before a roster without it has begun, the callers would be
+// refused identities that no other entry may start.
+func (e *Entry) leaveRoster(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leavePatience)
+	defer cancel()
+	if err := e.router.Leave(ctx); err != nil {
+		e.log.Warn("could not leave the roster; others will notice the end of links", "err", err)
+	}
+}
+
 func (e *Entry) closeListeners() error {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
 	defer cancel()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -91,6 +91,7 @@
 			*d.field = d.value
 		}
 	}
+	o.Renew = min(o.Renew, o.Lead/2) // or a short ceiling would run out before it is raised
 	return o
 }
 
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -22,9 +22,10 @@
 
 	Peers []string // inner addresses, used until the roster is known
 
-	Store Store
-	TLS   TLS
-	Fleet Fleet
+	Store  Store
+	Roster Roster
+	TLS    TLS
+	Fleet  Fleet
 	// ConfigKeyFile is the path of the file with the key under which snapshots
 	// of the configuration are sealed; empty for none.
 	ConfigKeyFile string
@@ -41,6 +42,13 @@
 	VerifyEvery    time.Duration
 }
 
+// Roster tells how entries share plain identities.
+type Roster struct {
+	// Ceiling is how long plain identities are served without the store at most,
+	// and refused at most after the loss of all entries of the region at once.
+	Ceiling time.Duration
+}
+
 // Operators holds what lets the consortium's operators in before any record
 // exists.
 type Operators struct {
@@ -75,6 +83,7 @@
 		millis("store", "timeout_ms", 2000, 50, 60_000, "Time for one call of the store.", func(e *Entry) *time.Duration { return &e.Store.Timeout }),
 		integer("store", "calls_per_second", "calls/s", 50, 1, 2000, "Most calls of the store by this process. A call over it waits.", func(e *Entry) *int64 { return &e.Store.CallsPerSecond }),
 		millis("store", "verify_every_ms", 2000, 100, 60_000, "Time between checks that the watch of the store has left out no change.", func(e *Entry) *time.Duration { return &e.Store.VerifyEvery }),
+		millis("roster", "ceiling_ms", 3_600_000, 10_000, 86_400_000, "Time for which entries promise ahead in the store. Identities without a home are served that long in an outage of the store, and refused that long at most after all entries of the region were lost at once. A site with one entry sets a short one.", func(e *Entry) *time.Duration { return &e.Roster.Ceiling }),
 	},
 	tlsFields(func(e *Entry) *TLS { return &e.TLS }),
 	fleetFields(func(e *Entry) *Fleet { return &e.Fleet }),
