entry: configuration for guards is their own service's, sealed for the rest

The one in record and confsync stays: its key is the entries' own, and a guard gets its service's record in the clear.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"wigeontray/internal/confsync"
 	"wigeontray/internal/dispatch"
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/record"
-	"wigeontray/internal/seal"
 	"wigeontray/internal/wire"
 )
 
@@ -17,53 +15,45 @@
 type SyncedConfig struct {
 	sync   *confsync.Sync
 	region string
-	box    *seal.Box
-	forged func() // counts a snapshot that is not of this fleet
-
-	mu      sync.Mutex
-	encoded *wire.Config // of the snapshot at its Revision
 }
 
-// NewSyncedConfig serves s to an entry in region. Snapshots travel in box;
-// forged is called for each that does not open.
-func NewSyncedConfig(s *confsync.Sync, region string, box *seal.Box, forged func()) *SyncedConfig {
-	return &SyncedConfig{sync: s, region: region, box: box, forged: forged}
+// NewSyncedConfig serves s to an entry in region.
+func NewSyncedConfig(s *confsync.Sync, region string) *SyncedConfig {
+	return &SyncedConfig{sync: s, region: region}
 }
 
 // Revision implements Config.
 func (c *SyncedConfig) Revision() int64 { return c.sync.Revision() }
 
-// Encoded implements Config. A snapshot is encoded and sealed once, however many guards
-// there are to send it to.
-func (c *SyncedConfig) Encoded() *wire.Config {
-	snap := c.sync.Current()
-	if snap == nil {
+// ForPeers implements Config.
+func (c *SyncedConfig) ForPeers() *wire.Config { return frame(c.sync.Encoded()) }
+
+// ForGuard implements Config.
+func (c *SyncedConfig) ForGuard(service string) *wire.Config {
+	return frame(c.sync.EncodedFor(service))
+}
+
+// frame gives the message for a snapshot; nil where there is none. A snapshot
+// that was decoded or built encodes, so that errors leave nothing out.
+func frame(b []byte, revision int64, err error) *wire.Config {
+	if err != nil || b == nil {
 		return nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.encoded != nil && c.encoded.Revision == snap.Revision {
-		return c.encoded
-	}
-	b, err := snap.Encode()
-	if err != nil {
-		return nil // a snapshot that was decoded or built encodes
-	}
-	c.encoded = &wire.Config{Revision: snap.Revision, Snapshot: c.box.Seal(snap.Revision, b)}
-	return c.encoded
+	return &wire.Config{Revision: revision, Snapshot: b}
 }
 
-// Offer implements Config.
-func (c *SyncedConfig) Offer(offered *wire.Config) {
-	if offered.Revision <= c.sync.Revision() {
-		return
+// FromPeer implements Config. confsync counts what it cannot take.
+func (c *SyncedConfig) FromPeer(offered *wire.Config) {
+	if offered.Revision > c.sync.Revision() {
+		_, _ = c.sync.Offer(offered.Snapshot)
 	}
-	b, err := c.box.Open(offered.Revision, offered.Snapshot)
-	if err != nil {
-		c.forged()
-		return
+}
+
+// FromGuard implements Config.
+func (c *SyncedConfig) FromGuard(offered *wire.Config) {
+	if offered.Revision > c.sync.Revision() {
+		_, _ = c.sync.OfferFromGuard(offered.Snapshot)
 	}
-	_, _ = c.sync.Offer(b) // confsync counts what it cannot take
 }
 
 // Member implements Config.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,10 +34,14 @@
 type Config interface {
 	// Revision is that of the snapshot in force; 0 before the first.
 	Revision() int64
-	// Encoded is the snapshot in force for guards and peers; nil before the first.
-	Encoded() *wire.Config
-	// Offer takes a snapshot from a guard or peer; an older one is passed over.
-	Offer(c *wire.Config)
+	// ForPeers is the snapshot in force for other entries; nil before the first.
+	ForPeers() *wire.Config
+	// ForGuard is what a guard of a service gets; nil before the first.
+	ForGuard(service string) *wire.Config
+	// FromPeer and FromGuard take what another process holds; what is not newer
+	// or not trustworthy is passed over and counted.
+	FromPeer(c *wire.Config)
+	FromGuard(c *wire.Config)
 	// Member authenticates a bearer token.
 	Member(token string) (name string, ok bool)
 	// CheckRegion refuses, with WrongRegion, a member that is served elsewhere.
@@ -187,11 +191,12 @@
 // configChanged puts a new snapshot in force here and passes it to the guards.
 func (s *Server) configChanged() {
 	s.Reconfigure()
-	if c := s.config.Encoded(); c != nil {
-		s.links.broadcast(&wire.Frame{Config: c})
-		s.metrics.Inc(telemetry.ConfigsApplied)
-		s.log.Info("configuration in force", "revision", c.Revision)
-	}
+	s.metrics.Inc(telemetry.ConfigsApplied)
+	s.eachLane(func(l *lane) {
+		if c := s.config.ForGuard(l.service); c != nil {
+			s.links.broadcast(l.service, &wire.Frame{Config: c})
+		}
+	})
 	if s.opts.OnConfig != nil {
 		s.opts.OnConfig()
 	}
@@ -234,7 +239,7 @@
 // Close ends all links. Jobs that are still open get no answer from here.
 func (s *Server) Close() {
 	s.end()
-	s.links.broadcast(&wire.Frame{Goodbye: &wire.Goodbye{Reason: "entry stops"}})
+	s.links.broadcast("", &wire.Frame{Goodbye: &wire.Goodbye{Reason: "entry stops"}})
 	s.links.close()
 	s.eachLane((*lane).close)
 }
@@ -242,9 +247,6 @@
 // SendGuard queues f for one guard; false if it is not linked.
 func (s *Server) SendGuard(to identity.Incarnation, f *wire.Frame) bool { return s.links.send(to, f) }
 
-// BroadcastGuards queues f for every guard.
-func (s *Server) BroadcastGuards(f *wire.Frame) { s.links.broadcast(f) }
-
 // Guards lists the linked guards.
 func (s *Server) Guards() []*wire.Hello { return s.links.all() }
 
--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -43,13 +43,15 @@
 		return
 	}
 	g := &guardLink{link: link, hello: hello}
+	// The lane is there before the link is listed, so that a change of the
+	// configuration, which goes out by lane, cannot miss the guard.
+	l := s.lane(hello.Service)
 	if !s.links.add(g) {
 		return
 	}
 	s.log.Info("guard up", "guard", hello.Incarnation, "service", hello.Service, "worker", hello.Worker, "slots", hello.Slots)
 	s.metrics.Inc(telemetry.LinksOpened)
-	s.shareConfig(link, hello.Revision)
-	l := s.lane(hello.Service)
+	s.shareConfig(g)
 	s.announce(g)
 	err = s.pump(ctx, l, g)
 	l.down(g)
@@ -162,7 +164,7 @@
 		case f.Result != nil, f.Load != nil, f.Offer != nil, f.Goodbye != nil:
 			l.receive(g, f)
 		case f.Config != nil:
-			s.config.Offer(f.Config)
+			s.config.FromGuard(f.Config)
 		case f.ConfigAck != nil:
 			s.links.acked(g, f.ConfigAck.Revision)
 		case f.FenceReport != nil, f.Collected != nil:
@@ -175,8 +177,8 @@
 
 // shareConfig sends the snapshot in force to a guard that has an older one. A
 // guard with a newer one sends its own, on seeing the revision in the Welcome.
-func (s *Server) shareConfig(link wire.Link, theirs int64) {
-	if c := s.config.Encoded(); c != nil && c.Revision > theirs {
-		_ = link.Send(&wire.Frame{Config: c})
+func (s *Server) shareConfig(g *guardLink) {
+	if c := s.config.ForGuard(g.hello.Service); c != nil && c.Revision > g.hello.Revision {
+		_ = g.link.Send(&wire.Frame{Config: c})
 	}
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -24,11 +24,13 @@
 // fixedConfig knows two members whose tokens are their names.
 type fixedConfig struct{ revision int64 }
 
-func (c *fixedConfig) Revision() int64 { return c.revision }
-func (c *fixedConfig) Encoded() *wire.Config {
+func (c *fixedConfig) Revision() int64        { return c.revision }
+func (c *fixedConfig) ForPeers() *wire.Config { return nil }
+func (c *fixedConfig) ForGuard(string) *wire.Config {
 	return &wire.Config{Revision: c.revision, Snapshot: []byte("snapshot")}
 }
-func (c *fixedConfig) Offer(*wire.Config) {}
+func (c *fixedConfig) FromPeer(*wire.Config)  {}
+func (c *fixedConfig) FromGuard(*wire.Config) {}
 func (c *fixedConfig) Member(token string) (string, bool) {
 	return token, token == "ayni" || token == "leeuwin"
 }
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -97,12 +97,15 @@
 	return n
 }
 
-// broadcast queues f for every guard. Sending never blocks.
-func (t *linkTable) broadcast(f *wire.Frame) {
+// broadcast queues f for every guard of a service, or for all if it is empty.
+// Sending never blocks.
+func (t *linkTable) broadcast(service string, f *wire.Frame) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, g := range t.links {
-		_ = g.link.Send(f)
+		if service == "" || g.hello.Service == service {
+			_ = g.link.Send(f)
+		}
 	}
 }
 
--- a/internal/entry/peerrouter.go
+++ b/internal/entry/peerrouter.go
@@ -35,8 +35,8 @@
 		s.GuardReady(g)
 	}
 	o.Revision = func() int64 { <-bound; return s.config.Revision() }
-	o.Config = func() *wire.Config { <-bound; return s.config.Encoded() }
-	o.OnConfig = func(c *wire.Config) { <-bound; s.config.Offer(c) }
+	o.Config = func() *wire.Config { <-bound; return s.config.ForPeers() }
+	o.OnConfig = func(c *wire.Config) { <-bound; s.config.FromPeer(c) }
 	r := &PeerRouter{Peers: peers.New(o)}
 	return r, func(server *Server) {
 		s = server
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -22,7 +22,7 @@
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
 	"wigeontray/internal/peers"
-	"wigeontray/internal/seal"
+	"wigeontray/internal/record"
 	"wigeontray/internal/settings"
 	"wigeontray/internal/store"
 	"wigeontray/internal/telemetry"
@@ -73,13 +73,29 @@
 		Endpoints: set.Store.Endpoints, Timeout: set.Store.Timeout,
 		CallsPerSecond: float64(set.Store.CallsPerSecond), Registry: registry, Transport: transport,
 	})
-	e.sync = confsync.New(confsync.Options{Store: kv, Registry: registry, Logger: logger, VerifyEvery: set.Store.VerifyEvery})
+	sealer, err := newSealer(set)
+	if err != nil {
+		return nil, err
+	}
+	e.sync = confsync.New(confsync.Options{
+		Store: kv, Registry: registry, Logger: logger, VerifyEvery: set.Store.VerifyEvery, Sealer: sealer,
+	})
 	if err := e.listen(kv, key, registry); err != nil {
 		return nil, errors.Join(err, e.closeListeners())
 	}
 	return e, nil
 }
 
+// newSealer makes what seals the configuration on its way through guards; nil
+// without a key.
+func newSealer(set *settings.Entry) (*record.Sealer, error) {
+	key, err := set.ConfigKey()
+	if err != nil || key == "" {
+		return nil, err
+	}
+	return record.NewSealer(key)
+}
+
 // listen builds the server and opens its three listeners. The inner address is
 // opened first, as peers are told of it.
 func (e *Entry) listen(kv store.Store, key string, registry metrics.Registry) error {
@@ -118,11 +134,7 @@
 	if err != nil {
 		return err
 	}
-	box, err := seal.New(key)
-	if err != nil {
-		return err
-	}
-	config := entry.NewSyncedConfig(e.sync, e.set.Region, box, func() { e.metrics.Inc(telemetry.ConfigsForged) })
+	config := entry.NewSyncedConfig(e.sync, e.set.Region)
 	traffic := new(wire.Traffic)
 	router, bind := entry.NewPeerRouter(peers.Options{
 		Self: self, Region: e.set.Region, Key: key, Store: kv, Seeds: e.set.Peers,
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -30,7 +30,6 @@
 	FramesMalformed
 	ConfigsApplied
 	ConfigsRejected
-	ConfigsForged
 	RecordsInvalid
 	RecordsTooNew
 	StoreCalls
@@ -126,7 +125,6 @@
 	FramesMalformed:      {Name: "wigeontray_frames_malformed_total", Help: "Frames that could not be decoded; their link was closed."},
 	ConfigsApplied:       {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
 	ConfigsRejected:      {Name: "wigeontray_configs_rejected_total", Help: "Configuration snapshots that were not newer than the one in force."},
-	ConfigsForged:        {Name: "wigeontray_configs_forged_total", Help: "Snapshots offered by a guard or peer that were not sealed under the fleet's key; they were not taken."},
 	RecordsInvalid:       {Name: "wigeontray_records_invalid_total", Help: "Records read that were not valid; the last valid one stays in force."},
 	RecordsTooNew:        {Name: "wigeontray_records_too_new_total", Help: "Records read with a schema version unknown to this process; the last accepted one stays in force."},
 	StoreCalls:           {Name: "wigeontray_store_calls_total", Help: "Calls made to the platform's store; a waiting watch counts once."},
