guard: posts to the path of its service's record

Cause: operators amend a service's path as a record, but the guard posted to its settings' path alone. A path in the settings still goes first.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -175,7 +175,7 @@
 	op := operator.New(operator.Options{Address: a.url(), Token: token})
 	was, err := op.Get(ctx, record.KindService, "ayni/reserva")
 	f.Assert(err, qt.IsNil)
-	value := []byte(`{"kind":"service","name":"ayni/reserva","schema":1,"path":"/","max_tasks":1}`)
+	value := []byte(`{"kind":"service","name":"ayni/reserva","schema":1,"path":"/reserva/run","max_tasks":1}`)
 	began := time.Now()
 	now, err := op.Put(ctx, value, was.Revision)
 	f.Assert(err, qt.IsNil)
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -129,7 +129,7 @@
 	f.kvURL = srv.URL
 	hash := record.HashToken(token)
 	f.put(record.KindMember, "ayni", fmt.Sprintf(`{"kind":"member","name":"ayni","schema":1,"token_sha256":["%x"]}`, hash[:]))
-	f.put(record.KindService, "ayni/reserva", `{"kind":"service","name":"ayni/reserva","schema":1,"path":"/"}`)
+	f.put(record.KindService, "ayni/reserva", `{"kind":"service","name":"ayni/reserva","schema":1,"path":"/reserva/run"}`)
 	return f
 }
 
@@ -206,7 +206,9 @@
 // worker starts an upstream in this process and a guard beside it.
 func (f *fleet) worker(name string) *process {
 	up := sample.New(name, 1)
-	srv := httptest.NewServer(up)
+	mux := http.NewServeMux()
+	mux.Handle("/reserva/run", up) // the path of the service's record
+	srv := httptest.NewServer(mux)
 	f.t.Cleanup(func() {
 		srv.CloseClientConnections()
 		srv.Close()
@@ -229,7 +231,6 @@
 addresses = %s
 [upstream]
 url = %s
-path = /
 service = ayni/reserva
 [listen]
 admin = 127.0.0.1:0
--- a/internal/guard/config.go
+++ b/internal/guard/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeontray/internal/identity"
+	"wigeontray/internal/record"
 	"wigeontray/internal/wire"
 )
 
@@ -26,6 +27,7 @@
 func (g *Guard) takeConfig(from identity.Incarnation, c *wire.Config) {
 	if c.Revision > g.revision() {
 		g.config = c
+		g.obey(c)
 		g.opt.Logger.Info("configuration", "revision", c.Revision)
 	}
 	g.noteRevision(from, c.Revision)
@@ -34,6 +36,16 @@
 	}
 }
 
+// obey puts the record of the guard's own service in force. A path in the
+// settings goes before the record's.
+func (g *Guard) obey(c *wire.Config) {
+	gc, err := record.DecodeForGuard(c.Snapshot)
+	if err != nil || gc.Service == nil || g.opt.Path != "" {
+		return // the path that was in force stays
+	}
+	g.upstream.path.Store(&gc.Service.Path)
+}
+
 // noteRevision notes which configuration an entry holds, and offers it a newer
 // one. g.mu is held.
 func (g *Guard) noteRevision(from identity.Incarnation, revision int64) {
--- a/internal/guard/options.go
+++ b/internal/guard/options.go
@@ -50,7 +50,7 @@
 	Slots       int // tasks on the upstream at once
 
 	Upstream      string        // http://host:port
-	Path          string        // path of the service, to which tasks are posted
+	Path          string        // to which tasks are posted; empty takes the service record's
 	HealthPath    string        // path that answers 2xx while healthy; empty only connects
 	HealthEvery   time.Duration // period of the health check
 	HealthTimeout time.Duration // bound on one health check
@@ -82,7 +82,6 @@
 	setDefault(&o.HealthTimeout, DefaultHealthTimeout)
 	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
 	setDefault(&o.UpstreamIdle, DefaultUpstreamIdle)
-	setDefault(&o.Path, "/")
 	o.Ledger.Slots = o.Slots
 	o.Ledger.Member, _, _ = strings.Cut(o.Service, "/")
 	if o.Registry == nil {
--- a/internal/guard/upstream.go
+++ b/internal/guard/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"wigeontray/internal/errkind"
@@ -36,7 +38,8 @@
 
 // upstream posts tasks to the service beside the guard.
 type upstream struct {
-	url       string
+	base      string
+	path      atomic.Pointer[string] // read for each task, replaced by configuration
 	maxAnswer int64
 	transport *http.Transport
 }
@@ -47,8 +50,8 @@
 func newUpstream(opt Options) *upstream {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &upstream{
-		url:       strings.TrimSuffix(opt.Upstream, "/") + opt.Path,
+	u := &upstream{
+		base:      strings.TrimSuffix(opt.Upstream, "/"),
 		maxAnswer: int64(opt.MaxAnswer),
 		transport: &http.Transport{
 			DialContext:            provenDialer(opt.DialUpstream),
@@ -60,8 +63,14 @@
 			Protocols:              protocols,
 		},
 	}
+	path := cmp.Or(opt.Path, "/")
+	u.path.Store(&path)
+	return u
 }
 
+// url is where tasks are posted now.
+func (u *upstream) url() string { return u.base + *u.path.Load() }
+
 func (u *upstream) close() { u.transport.CloseIdleConnections() }
 
 // runResult is a Result and what it says about the upstream.
@@ -104,7 +113,7 @@
 // no such header is set, and the body's type gives http.NewRequest no GetBody.
 func (u *upstream) request(ctx context.Context, task ledger.Run) (*http.Request, error) {
 	body := struct{ io.Reader }{bytes.NewReader(task.Body)}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.url, body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.url(), body)
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w", err)
 	}
