confsync: amendments are refused at once while the store is known to be down

Cause: an amendment in an outage took ten seconds to end in "unknown", though nothing needed to be sent to know better.

Ruled out: taking a history that could not be seen for one without the write, or a record's old write identity for the new write.

Conclusion: two cases of creating a record are left, described at Put.

--- a/internal/confsync/amend.go
+++ b/internal/confsync/amend.go
@@ -61,6 +61,12 @@
 // If the answer to the write is lost, the record's write identity is looked up
 // in the store's history of the key, and the same compare-and-swap is sent
 // again where the history shows that the first had no effect.
+//
+// Two cases are left, both of a write that must create a record. It is reported
+// as a conflict, the store carries it out only then, and in between another
+// operator has created the record and deleted it again. Or its answer is lost,
+// another operator deletes the new record within the second, and the store's
+// watch is open but silent: the record is then created again.
 func (s *Sync) Put(ctx context.Context, kind record.Kind, name string, value []byte, expect int64) (int64, error) {
 	return s.PutAs(ctx, uuid.NewString(), kind, name, value, expect)
 }
@@ -117,6 +123,13 @@
 }
 
 func (s *Sync) amend(ctx context.Context, c *change) (int64, error) {
+	if s.storeDown() {
+		// Known before anything is sent, this can be answered at once and for
+		// certain; after sending, the outcome would take seconds to find out.
+		s.count("amend.store_down")
+		return 0, errkind.New(errkind.StoreUnavailable, "the store does not answer now; nothing was sent").
+			WithRan(errkind.RanNo).WithAfter(s.o.BackoffMax)
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.o.ResolveWithin)
 	defer cancel()
 	c.base = max(c.expect, s.Revision())
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s.noteStore(true, nil)
+	s.noteStore(nil)
 	raw := make([]record.Raw, 0, len(kvs))
 	for _, kv := range kvs {
 		raw = append(raw, record.Raw{Key: kv.Key, Value: kv.Value, ModRevision: kv.ModRevision})
@@ -126,10 +126,10 @@
 	}
 	if err != nil {
 		s.count("store.failed")
-		s.noteStore(false, err)
+		s.noteStore(err)
 		return false
 	}
-	s.noteStore(true, nil)
+	s.noteStore(nil)
 	snap := s.Current()
 	if latest.Revision < snap.Revision {
 		s.notePast()
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -61,12 +61,21 @@
 // rotator is a store with several endpoints.
 type rotator interface{ NextEndpoint() }
 
+// storeState is what the last call of the store said of it.
+type storeState uint32
+
+const (
+	storeUntried storeState = iota
+	storeUp
+	storeDown
+)
+
 // Sync holds the configuration in force.
 type Sync struct {
 	o       Options
 	current atomic.Pointer[record.Snapshot]
 	ready   chan struct{} // closed once a snapshot was obtained
-	storeUp atomic.Bool
+	store   atomic.Uint32 // a storeState
 	shared  atomic.Pointer[shared]
 
 	mu          sync.Mutex // guards changes of current, and what follows
@@ -112,7 +121,10 @@
 func (s *Sync) ReadyC() <-chan struct{} { return s.ready }
 
 // StoreUp tells whether the store answered last time.
-func (s *Sync) StoreUp() bool { return s.storeUp.Load() }
+func (s *Sync) StoreUp() bool { return storeState(s.store.Load()) == storeUp }
+
+// storeDown tells whether the store gave no answer last time.
+func (s *Sync) storeDown() bool { return storeState(s.store.Load()) == storeDown }
 
 // Revision gives the revision in force, 0 before Ready.
 func (s *Sync) Revision() int64 {
@@ -221,16 +233,21 @@
 		s.notePast()
 	default:
 		s.count("store.failed")
-		s.noteStore(false, err)
+		s.noteStore(err)
 	}
 }
 
-// noteStore logs the store's going and coming back, once each.
-func (s *Sync) noteStore(up bool, err error) {
-	if s.storeUp.Swap(up) == up {
+// noteStore notes how a call of the store went, and logs its going and coming
+// back, once each.
+func (s *Sync) noteStore(err error) {
+	now := storeUp
+	if err != nil {
+		now = storeDown
+	}
+	if before := storeState(s.store.Swap(uint32(now))); before == now {
 		return
 	}
-	if up {
+	if now == storeUp {
 		s.o.Logger.Info("store answers")
 		return
 	}
