--- a/internal/record/kinds.go
+++ b/internal/record/kinds.go
@@ -27,6 +27,7 @@
 	defaultBodyBytes  = 1 << 20
 	defaultDeadlineMs = 10_000
 	millisPerSecond   = 1000
+	minRate           = 0.001 // starts a second
 	maxQuota          = 1e6
 	maxWeight         = 1000
 	maxQueued         = 1_000_000
@@ -153,9 +154,12 @@
 			teams.fail(name, "not a team's name")
 		}
 		q := teams.object(name)
+		// Without these two it would be open whether the team may start nothing
+		// or as much as it likes.
+		q.need("starts_per_second", "burst")
 		out[name] = dispatch.Quota{
-			StartsPerSecond: q.number("starts_per_second", 0, 0, maxQuota),
-			Burst:           q.number("burst", 0, 0, maxQuota),
+			StartsPerSecond: q.number("starts_per_second", 0, minRate, maxQuota),
+			Burst:           q.number("burst", 0, 1, maxQuota),
 			Weight:          q.number("weight", 1, 0, maxWeight),
 		}
 		q.done()
--- a/internal/record/object.go
+++ b/internal/record/object.go
@@ -104,6 +104,15 @@
 	return true
 }
 
+// need reports fields that are missing.
+func (o *object) need(fields ...string) {
+	for _, field := range fields {
+		if _, ok := o.fields[field]; !ok {
+			o.fail(field, "missing")
+		}
+	}
+}
+
 func (o *object) text(field, standard string) string {
 	v := standard
 	o.take(field, &v, "a string")
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -47,11 +47,11 @@
 	c := qt.New(t)
 	s := Build(nil, []Raw{raw(KindPolicy, "leeuwin/clubcast", `{"kind":"policy","name":"leeuwin/clubcast","schema":1,
 		"weighting":"messages","max_queued":100,"retry_ratio":0.1,"grace_ms":500,
-		"teams":{"day-1":{"starts_per_second":40,"burst":80,"weight":2},"day-2":{}}}`, 1)}, 1)
+		"teams":{"day-1":{"starts_per_second":40,"burst":80,"weight":2},"day-2":{"starts_per_second":1,"burst":1}}}`, 1)}, 1)
 	c.Assert(s.Rejected(), qt.HasLen, 0)
 	c.Assert(s.PolicyFor("leeuwin/clubcast"), qt.DeepEquals, dispatch.Policy{
 		Weighting: dispatch.WeighMessages, Entries: 1, MaxQueued: 100, RetryRatio: 0.1, Grace: 500 * time.Millisecond,
-		Teams: map[string]dispatch.Quota{"day-1": {StartsPerSecond: 40, Burst: 80, Weight: 2}, "day-2": {Weight: 1}},
+		Teams: map[string]dispatch.Quota{"day-1": {StartsPerSecond: 40, Burst: 80, Weight: 2}, "day-2": {StartsPerSecond: 1, Burst: 1, Weight: 1}},
 	})
 	c.Assert(s.PolicyFor("leeuwin/other"), qt.DeepEquals, dispatch.DefaultPolicy())
 }
@@ -61,26 +61,27 @@
 // operator must be told the field.
 func TestSlipsAreRefusedWithTheirField(t *testing.T) {
 	for value, want := range map[string]string{
-		`{"kind":"service","name":"a/b","schema":2,"deadline_ms":1}`:                                             `deadline_ms: unknown field`,
-		`{"kind":"service","name":"a/b","schema":1,"max_body":1}`:                                                `max_body: unknown field`,
-		`{"kind":"service","name":"a/b","schema":2,"max_tasks":501}`:                                             `max_tasks: 501 is not within 1 to 500`,
-		`{"kind":"service","name":"a/b","schema":2,"max_tasks":"5"}`:                                             `max_tasks: want a whole number`,
-		`{"kind":"service","name":"a/b","schema":2,"max_tasks":null}`:                                            `max_tasks: want a whole number`,
-		`{"kind":"service","name":"a/b","schema":2,"Path":"/"}`:                                                  `Path: unknown field`,
-		`{"kind":"service","name":"a/b","schema":2,"path":"http://x/"}`:                                          `path: .*absolute path.*`,
-		`{"kind":"service","name":"a/b"}`:                                                                        `schema: missing`,
-		`{"kind":"service","name":"a","schema":2}`:                                                               `name: "a": want member/name .*`,
-		`{"kind":"upstream","name":"a","schema":2}`:                                                              `kind: "upstream" is none of .*`,
-		`{"kind":"policy","name":"a/b","schema":1,"teams":{"kiosk":{"bursts":1}}}`:                               `teams.kiosk.bursts: unknown field`,
-		`{"kind":"policy","name":"a/b","schema":1,"teams":{"kiosk":{"burst":-1}}}`:                               `teams.kiosk.burst: -1 is not within 0 to 1e\+06`,
-		`{"kind":"policy","name":"a/b","schema":1,"teams":{"k":{},"k":{}}}`:                                      `teams.k: stands twice`,
-		`{"kind":"policy","name":"a/b","schema":1,"weighting":"fast"}`:                                           `weighting: "fast" is none of .*`,
-		`{"kind":"job","name":"a/b","schema":1,"service":"c/d"}`:                                                 `service: "c/d" belongs to another member`,
-		`{"kind":"member","name":"a","schema":1,"token_sha256":["secret"]}`:                                      `token_sha256.0: want 64 .*`,
-		`{"kind":"member","name":"a","schema":1} {}`:                                                             `more follows after the JSON object`,
-		`{"kind":"member","name":"a","schema":1`:                                                                 `malformed JSON: .*`,
-		`{"kind":"policy","name":"a/b","schema":1,"retry_ratio":2,"max_queued":-1}`:                              `max_queued: .*\nretry_ratio: .*`,
-		`{"kind":"member","name":"a","schema":1,"teams":["` + string(bytes.Repeat([]byte("x"), MaxSize)) + `"]}`: `\d+ bytes exceed 65536`,
+		`{"kind":"service","name":"a/b","schema":2,"deadline_ms":1}`:                                                                      `deadline_ms: unknown field`,
+		`{"kind":"service","name":"a/b","schema":1,"max_body":1}`:                                                                         `max_body: unknown field`,
+		`{"kind":"service","name":"a/b","schema":2,"max_tasks":501}`:                                                                      `max_tasks: 501 is not within 1 to 500`,
+		`{"kind":"service","name":"a/b","schema":2,"max_tasks":"5"}`:                                                                      `max_tasks: want a whole number`,
+		`{"kind":"service","name":"a/b","schema":2,"max_tasks":null}`:                                                                     `max_tasks: want a whole number`,
+		`{"kind":"service","name":"a/b","schema":2,"Path":"/"}`:                                                                           `Path: unknown field`,
+		`{"kind":"service","name":"a/b","schema":2,"path":"http://x/"}`:                                                                   `path: .*absolute path.*`,
+		`{"kind":"service","name":"a/b"}`:                                                                                                 `schema: missing`,
+		`{"kind":"service","name":"a","schema":2}`:                                                                                        `name: "a": want member/name .*`,
+		`{"kind":"upstream","name":"a","schema":2}`:                                                                                       `kind: "upstream" is none of .*`,
+		`{"kind":"policy","name":"a/b","schema":1,"teams":{"kiosk":{"starts_per_second":1,"burst":1,"bursts":1}}}`:                        `teams.kiosk.bursts: unknown field`,
+		`{"kind":"policy","name":"a/b","schema":1,"teams":{"kiosk":{"starts_per_second":1,"burst":-1}}}`:                                  `teams.kiosk.burst: -1 is not within 1 to 1e\+06`,
+		`{"kind":"policy","name":"a/b","schema":1,"teams":{"k":{"starts_per_second":1,"burst":1},"k":{"starts_per_second":1,"burst":1}}}`: `teams.k: stands twice`,
+		`{"kind":"policy","name":"a/b","schema":1,"teams":{"k":{}}}`:                                                                      `teams.k.starts_per_second: missing\nteams.k.burst: missing`,
+		`{"kind":"policy","name":"a/b","schema":1,"weighting":"fast"}`:                                                                    `weighting: "fast" is none of .*`,
+		`{"kind":"job","name":"a/b","schema":1,"service":"c/d"}`:                                                                          `service: "c/d" belongs to another member`,
+		`{"kind":"member","name":"a","schema":1,"token_sha256":["secret"]}`:                                                               `token_sha256.0: want 64 .*`,
+		`{"kind":"member","name":"a","schema":1} {}`:                                                                                      `more follows after the JSON object`,
+		`{"kind":"member","name":"a","schema":1`:                                                                                          `malformed JSON: .*`,
+		`{"kind":"policy","name":"a/b","schema":1,"retry_ratio":2,"max_queued":-1}`:                                                       `max_queued: .*\nretry_ratio: .*`,
+		`{"kind":"member","name":"a","schema":1,"teams":["` + string(bytes.Repeat([]byte("x"), MaxSize)) + `"]}`:                          `\d+ bytes exceed 65536`,
 	} {
 		_, err := Parse([]byte(value))
 		qt.Check(t, err, qt.ErrorMatches, want)
