--- a/internal/pages/code_test.go
+++ b/internal/pages/code_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wigeontray/internal/errkind"
+	"wigeontray/internal/record"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 )
@@ -32,6 +33,28 @@
 	checkTable(qt.New(t), "docs/operators.md", "figures", render(header, rows))
 }
 
+func TestRecordKinds(t *testing.T) {
+	var names []string
+	for _, k := range record.Kinds() {
+		names = append(names, string(k))
+	}
+	checkNames(qt.New(t), "docs/operators.md", "record-kinds", names)
+}
+
+// Advice on an error kind that does not exist would send an operator looking
+// for a counter that is never there.
+func TestAdviceNamesErrorKinds(t *testing.T) {
+	c := qt.New(t)
+	_, body, _ := cut(c, "docs/operators.md", "what-to-do")
+	known := make(map[string]bool)
+	for _, k := range errkind.All() {
+		known[k.String()] = true
+	}
+	for _, name := range column(body) {
+		c.Check(known[name], qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
+
 func TestRetryReasons(t *testing.T) {
 	var names []string
 	for _, r := range telemetry.RetryReasons() {
