--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -7,6 +7,9 @@
 // Package peers feeds it what happens and carries out the actions it returns.
 // Only the published View may be read from other goroutines.
 //
+// The Members of a roster are entries; an argument called member is the member
+// of the consortium that an identity belongs to.
+//
 // The rules, each between numbers and none between clocks:
 //
 //   - A birth belongs to the last version whose FromMs is not above it.
