dispatch: an answered job's deadline timer is taken out

Cause: the heap kept each job's timer, and with it every task's body, until the deadline. Ruled out: clearing the body slices, as the entry may still read the Spec. TestAnsweredJobsLeaveNothingBehind found 100 timers before, none after.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -81,7 +81,7 @@
 	}
 	j := newJob(s, now)
 	c.jobs[s.ID] = j
-	c.timers.add(s.Deadline, timer{job: j})
+	j.deadline = c.timers.add(s.Deadline, timer{job: j})
 	for i := range j.tasks {
 		c.enqueue(&j.tasks[i])
 	}
@@ -113,11 +113,11 @@
 // NextTick implements Machine.
 func (c *Core) NextTick() time.Time { return c.timers.next() }
 
-func (c *Core) expire(now time.Time, t timer) {
+func (c *Core) expire(now time.Time, t *timer) {
 	switch {
 	case t.poll:
 		c.poll(now)
-	case t.job != nil && t.job.tasks != nil && c.jobs[t.job.spec.ID] == t.job:
+	case t.job != nil:
 		c.fail(now, t.job, failure{kind: errkind.DeadlineExpired, detail: "the deadline passed"})
 	case t.task != nil && t.task.job.tasks != nil:
 		c.retry(now, t.task)
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -257,3 +257,21 @@
 	b.c.Assert(acts, qt.HasLen, 1)
 	b.c.Assert(acts[0].Reserve, qt.DeepEquals, &wire.Reserve{})
 }
+
+// Jobs with long deadlines are answered quickly. If their timers stayed, each
+// would hold its tasks' bodies until the deadline, and an entry at the peak
+// would run out of memory within a minute.
+func TestAnsweredJobsLeaveNothingBehind(t *testing.T) {
+	b := newBench(t, 2, 8)
+	for i := range 100 {
+		b.c.Assert(b.submit(fmt.Sprint(i), 4) == nil, qt.IsTrue)
+		starts, _, _ := b.taken()
+		for _, a := range starts {
+			b.answer(a, errkind.None, errkind.RanYes)
+		}
+	}
+	b.c.Assert(b.Jobs(), qt.Equals, 0)
+	for _, tm := range b.timers.items {
+		b.c.Check(tm.job == nil && tm.task == nil, qt.IsTrue)
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -37,11 +37,12 @@
 
 // job is an accepted submission that has not been answered.
 type job struct {
-	spec    *Spec
-	tasks   []task
-	open    int // tasks without a result
-	slowest time.Duration
-	held    sched.Sites // where its tasks were sent
+	spec     *Spec
+	tasks    []task
+	open     int // tasks without a result
+	slowest  time.Duration
+	deadline *timer
+	held     sched.Sites // where its tasks were sent
 }
 
 func newJob(s *Spec, now time.Time) *job {
@@ -144,7 +145,10 @@
 
 func (c *Core) finish(j *job, out *Outcome) {
 	delete(c.jobs, out.ID)
-	j.tasks = nil // a timer may hold the job for long; the bodies need not stay
+	j.tasks = nil
+	// Left to run out, the timer would hold every task's body until a deadline
+	// that may be a minute away: at 5,000 jobs a second, gigabytes.
+	c.timers.remove(j.deadline)
 	c.act(Action{Finish: out})
 }
 
--- a/internal/dispatch/timer.go
+++ b/internal/dispatch/timer.go
@@ -17,6 +17,7 @@
 	task  *task
 	poll  bool
 	watch bool
+	index int // place in the heap, or -1
 }
 
 type timerHeap struct {
@@ -24,18 +25,26 @@
 	seq   uint64
 }
 
-func (h *timerHeap) add(when time.Time, t timer) {
+func (h *timerHeap) add(when time.Time, t timer) *timer {
 	h.seq++
 	t.when, t.seq = when, h.seq
-	heap.Push(&h.items, t)
+	heap.Push(&h.items, &t)
+	return &t
+}
+
+// remove takes out a timer that is still set.
+func (h *timerHeap) remove(t *timer) {
+	if t.index >= 0 {
+		heap.Remove(&h.items, t.index)
+	}
 }
 
 // due takes the next timer that is due at now.
-func (h *timerHeap) due(now time.Time) (timer, bool) {
+func (h *timerHeap) due(now time.Time) (*timer, bool) {
 	if len(h.items) == 0 || h.items[0].when.After(now) {
-		return timer{}, false
+		return nil, false
 	}
-	return heap.Pop(&h.items).(timer), true
+	return heap.Pop(&h.items).(*timer), true
 }
 
 func (h *timerHeap) next() time.Time {
@@ -45,7 +54,7 @@
 	return h.items[0].when
 }
 
-type timerItems []timer
+type timerItems []*timer
 
 func (s timerItems) Len() int { return len(s) }
 func (s timerItems) Less(i, j int) bool {
@@ -54,12 +63,20 @@
 	}
 	return s[i].seq < s[j].seq
 }
-func (s timerItems) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *timerItems) Push(x any)   { *s = append(*s, x.(timer)) }
+func (s timerItems) Swap(i, j int) {
+	s[i], s[j] = s[j], s[i]
+	s[i].index, s[j].index = i, j
+}
+func (s *timerItems) Push(x any) {
+	t := x.(*timer)
+	t.index = len(*s)
+	*s = append(*s, t)
+}
 func (s *timerItems) Pop() any {
 	old := *s
 	t := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	old[len(old)-1] = nil
 	*s = old[:len(old)-1]
+	t.index = -1
 	return t
 }
