cli: tests of codes and output; the quickstart stops its guards side by side

Cause: guards were stopped one after the other, 0.3 s each once their entry is gone, so that the quickstart ended with an error when it was slow.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -49,21 +49,25 @@
 // Main runs the command line of the entry binary and returns its exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var c commands
-	parser, err := kong.New(&c,
-		kong.Name("wigeontray"),
-		kong.Description("A shared dispatcher for short urgent requests."),
-		kong.Writers(stdout, stderr),
-		kong.UsageOnError(),
-	)
+	k, err := parse(&c, "wigeontray", "A shared dispatcher for short urgent requests.", args, stdout, stderr)
 	if err != nil {
-		panic(err) // the structure above is constant
+		return exitCode("wigeontray", stderr, err)
+	}
+	return exitCode("wigeontray", stderr, k.Run(&env{ctx: ctx, stdout: stdout, stderr: stderr}))
+}
+
+// parse reads args by the grammar of a binary. A request for help prints it and
+// ends the process with code 0.
+func parse(grammar any, name, description string, args []string, stdout, stderr io.Writer) (*kong.Context, error) {
+	parser, err := kong.New(grammar, kong.Name(name), kong.Description(description), kong.Writers(stdout, stderr))
+	if err != nil {
+		panic(err) // grammars are constant
 	}
 	k, err := parser.Parse(args)
 	if err != nil {
-		fmt.Fprintf(stderr, "wigeontray: %v\n", err)
-		return operator.ExitUsage
+		return nil, fmt.Errorf("%w: %w", errUsage, err)
 	}
-	return exitCode("wigeontray", stderr, k.Run(&env{ctx: ctx, stdout: stdout, stderr: stderr}))
+	return k, nil
 }
 
 func exitCode(name string, stderr io.Writer, err error) int {
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,79 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/operator"
+	"wigeontray/internal/telemetry"
+)
+
+// run gives the exit code and output of a command line.
+func run(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	code = Main(t.Context(), args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+func TestVersion(t *testing.T) {
+	code, out, _ := run(t, "version")
+	qt.Assert(t, code, qt.Equals, operator.ExitOK)
+	qt.Assert(t, out, qt.Equals, "wigeontray "+telemetry.Version+"\n")
+	var guard bytes.Buffer
+	code = GuardMain(t.Context(), []string{"--version"}, &guard, &guard)
+	qt.Assert(t, code, qt.Equals, operator.ExitOK)
+	qt.Assert(t, guard.String(), qt.Equals, "wigeontray-guard "+telemetry.Version+"\n")
+}
+
+// A script misspells a flag or a file. The code must tell it from a command that
+// ran and said no.
+func TestWrongUsageHasItsOwnCode(t *testing.T) {
+	for _, args := range [][]string{
+		{}, {"fly"}, {"serve"}, {"serve", "--config", "no-such-file.ini"}, {"replay"}, {"replay", "no-such-file"},
+		{"submit", "--entry", "http://127.0.0.1:1", "--token-file", "no-such-file", "--service", "s", "1"},
+	} {
+		code, out, errs := run(t, args...)
+		qt.Check(t, code, qt.Equals, operator.ExitUsage, qt.Commentf("%v", args))
+		qt.Check(t, out, qt.Equals, "")
+		qt.Check(t, errs, qt.Not(qt.Equals), "")
+	}
+}
+
+func TestCheckSamples(t *testing.T) {
+	code, out, errs := run(t, "check", filepath.Join("..", "..", "examples"))
+	qt.Assert(t, code, qt.Equals, operator.ExitOK, qt.Commentf("%s", errs))
+	qt.Assert(t, strings.Count(out, `"ok": true`), qt.Equals, 12)
+	bad := filepath.Join(t.TempDir(), "entry.ini")
+	qt.Assert(t, os.WriteFile(bad, []byte("[node]\nnmae = x\n"), 0o600), qt.IsNil)
+	code, out, _ = run(t, "check", bad)
+	qt.Assert(t, code, qt.Equals, operator.ExitInvalid)
+	qt.Assert(t, out, qt.Contains, "nmae")
+}
+
+// A trace states an outcome that does not come about. The command must say so by
+// its code, or a script would take the fault for a pass.
+func TestReplayTellsUnmetOutcomes(t *testing.T) {
+	trace := filepath.Join("..", "..", "traces", "cancel-races-start.trace")
+	code, _, errs := run(t, "replay", trace)
+	qt.Assert(t, code, qt.Equals, operator.ExitOK, qt.Commentf("%s", errs))
+	b, err := os.ReadFile(trace)
+	qt.Assert(t, err, qt.IsNil)
+	wrong := strings.Replace(string(b), "expect ok", "expect over_quota", 1)
+	qt.Assert(t, wrong, qt.Not(qt.Equals), string(b))
+	path := filepath.Join(t.TempDir(), "wrong.trace")
+	qt.Assert(t, os.WriteFile(path, []byte(wrong), 0o600), qt.IsNil)
+	code, _, _ = run(t, "replay", path)
+	qt.Assert(t, code, qt.Equals, operator.ExitFailed)
+}
+
+// The first thing a newcomer types.
+func TestStandaloneServesTheSamples(t *testing.T) {
+	code, out, errs := run(t, "standalone")
+	qt.Assert(t, code, qt.Equals, operator.ExitOK, qt.Commentf("%s", errs))
+	qt.Assert(t, strings.Count(out, `"state":"complete"`), qt.Equals, 2)
+}
--- a/internal/cli/guard.go
+++ b/internal/cli/guard.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 
-	"github.com/alecthomas/kong"
-
 	"wigeontray/internal/node"
 	"wigeontray/internal/operator"
 	"wigeontray/internal/settings"
@@ -23,24 +21,16 @@
 // code. The guard serves until SIGTERM asks for a planned stop.
 func GuardMain(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var c guardCommand
-	parser, err := kong.New(&c,
-		kong.Name("wigeontray-guard"),
-		kong.Description("Runs beside one upstream, announces it to the entries and runs their tasks on it."),
-		kong.Writers(stdout, stderr),
-		kong.UsageOnError(),
-	)
+	const name = "wigeontray-guard"
+	_, err := parse(&c, name, "Runs beside one upstream, announces it to the entries and runs their tasks on it.", args, stdout, stderr)
 	if err != nil {
-		panic(err) // the structure above is constant
-	}
-	if _, err := parser.Parse(args); err != nil {
-		fmt.Fprintf(stderr, "wigeontray-guard: %v\n", err)
-		return operator.ExitUsage
+		return exitCode(name, stderr, err)
 	}
 	if c.Version {
-		fmt.Fprintln(stdout, "wigeontray-guard", telemetry.Version)
+		fmt.Fprintln(stdout, name, telemetry.Version)
 		return operator.ExitOK
 	}
-	return exitCode("wigeontray-guard", stderr, serveGuard(ctx, c.Config, stderr))
+	return exitCode(name, stderr, serveGuard(ctx, c.Config, stderr))
 }
 
 func serveGuard(ctx context.Context, path string, logs io.Writer) error {
--- a/internal/node/standalone.go
+++ b/internal/node/standalone.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"wigeontray/internal/guard"
@@ -96,6 +97,9 @@
 	return nil
 }
 
+// guardStop bounds the stop of the guards, whose entry is gone by then.
+const guardStop = 5 * time.Second
+
 // Run serves until ctx ends.
 func (s *Standalone) Run(ctx context.Context) error {
 	if err := s.writeRecords(ctx); err != nil {
@@ -110,11 +114,13 @@
 		go func() { _ = g.Run(guards) }()
 	}
 	err := s.Entry.Run(ctx)
-	stop, cancel := context.WithTimeout(context.Background(), time.Second)
+	stop, cancel := context.WithTimeout(context.Background(), guardStop)
 	defer cancel()
+	var wg sync.WaitGroup
 	for _, g := range s.guards {
-		err = errors.Join(err, g.Stop(stop))
+		wg.Go(func() { _ = g.Stop(stop) }) // nothing is in flight once the entry has stopped
 	}
+	wg.Wait()
 	for _, h := range s.https {
 		_ = h.Stop(stop)
 	}
