--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -71,9 +71,11 @@
 			ran: errkind.RanNo, detail: "every guard refused the task, the last one with " + r.Kind.String()})
 		return
 	}
-	if r.Kind == errkind.Busy && c.reserves() {
+	if r.Kind == errkind.Busy && (c.reserves() || c.policy.Placement != Chosen) {
+		// It goes out on an offer, which is not refused again. The ways that are
+		// there to be measured against have no budget.
 		c.arrivals++
-		c.enqueue(t) // goes out on an offer, which is not refused again
+		c.enqueue(t)
 		return
 	}
 	c.retry(now, t)
--- a/internal/replay/compare.go
+++ b/internal/replay/compare.go
@@ -50,7 +50,7 @@
 func matrix(opt CompareOptions) []run {
 	var out []run
 	for _, site := range []Site{Ayni, Leeuwin} {
-		for _, t := range Scenarios(site) {
+		for _, t := range Scenarios(site, opt.Seed) {
 			out = append(out, variants(t, opt)...)
 		}
 	}
@@ -107,16 +107,29 @@
 	return nil
 }
 
+// Heads of the two tables. Their rows are the same runs in the same order.
+const (
+	headResponse = "trace\tplacement\tweighting\tjobs\tserved\tover ideal p50\tp95\tp99\tover fair ideal p50\tp99\tms p50\tp99\tmessages/task\twasted"
+	headCapacity = "trace\tplacement\tweighting\tused\tgoodput\tfairness\ton failing\tlate ms\teven after s\tpeak\tchecks\trefusals\tretries"
+)
+
+// writeTable writes the reports as two tables: response and messages, then
+// capacity, recovery and what was refused or retried.
 func writeTable(out io.Writer, reports []*Report) error {
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "trace\tplacement\tweighting\tjobs\tserved\tover ideal p50\tp95\tp99\tover fair p50\tp99\tms p50\tp99\tmsg/task\twasted\tutil\tgoodput\tfair\tfailing\tlate ms\teven s\tpeak\trefusals\tretries\tchecks")
+	fmt.Fprintln(tw, headResponse)
 	for _, r := range reports {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.2f%%\t%.3f\t%.3f\t%.3f\t%.2f%%\t%.0f\t%.0f\t%.2f\t%s\t%s\t%s\n",
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.2f%%\n",
 			r.Trace, r.Placement, r.Weighting, r.Jobs, r.Served,
 			r.OverIdeal.P50, r.OverIdeal.P95, r.OverIdeal.P99, r.OverFair.P50, r.OverFair.P99,
-			r.ResponseMs.P50, r.ResponseMs.P99, r.MessagesPerTask, 100*r.Wasted,
-			r.Utilisation, r.Goodput, r.Fairness, 100*r.FailingShare, r.LateMs, r.EvenAfter, r.HerdPeak,
-			counts(r.Refusals), counts(r.Retries), r.checks())
+			r.ResponseMs.P50, r.ResponseMs.P99, r.MessagesPerTask, 100*r.Wasted)
+	}
+	fmt.Fprintln(tw)
+	fmt.Fprintln(tw, headCapacity)
+	for _, r := range reports {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%.3f\t%.3f\t%.3f\t%.2f%%\t%.0f\t%.0f\t%.2f\t%s\t%s\t%s\n",
+			r.Trace, r.Placement, r.Weighting, r.Utilisation, r.Goodput, r.Fairness, 100*r.FailingShare,
+			r.LateMs, r.EvenAfter, r.HerdPeak, r.checks(), counts(r.Refusals), counts(r.Retries))
 	}
 	if err := tw.Flush(); err != nil {
 		return fmt.Errorf("write table: %w", err)
