peers: a frozen peer's link is dropped at once

Cause: found with the real binaries. Closing a WebSocket waits up to five seconds for the other end's closing frame, and Recv fails only after that. So a frozen entry stayed linked for nine seconds in place of four, requests were passed to it all the while, and nobody was declared gone. The tests' links in memory end at once and hid it.

Change: a silent link is forgotten before its end; the end of a link cancels its reader; an entry that was paused itself gives its peers their time anew. The tests' links linger as sockets do.

--- a/internal/peers/fake_test.go
+++ b/internal/peers/fake_test.go
@@ -133,8 +133,21 @@
 	a, b := wiretest.Pipe()
 	a.Drop = func(f *wire.Frame) bool { return n.tally(f) || from.frozen.Load() }
 	b.Drop = func(f *wire.Frame) bool { return n.tally(f) || target.frozen.Load() }
-	n.wg.Go(func() { target.Accept(n.ctx, b) })
-	return a, nil
+	n.wg.Go(func() { target.Accept(n.ctx, lingering{b}) })
+	return lingering{a}, nil
+}
+
+// lingering is a link whose Recv outlives Close, as that of a socket does while
+// the other end does not take part in the closing handshake.
+type lingering struct{ *wiretest.End }
+
+// Recv returns some seconds after the link has ended.
+func (l lingering) Recv(ctx context.Context) (*wire.Frame, error) {
+	f, err := l.End.Recv(ctx)
+	if err != nil {
+		pause(ctx, 5*time.Second)
+	}
+	return f, err
 }
 
 // calls counts what the entries asked of the store.
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -135,6 +135,13 @@
 	l.revision.Store(h.Revision)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go func() { // else Recv sits out the closing handshake, and nobody dials anew
+		select {
+		case <-link.Done():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	p.up(l)
 	for {
 		f, err := link.Recv(ctx)
@@ -172,18 +179,23 @@
 
 // down forgets l, unless a newer link has replaced it.
 func (p *Peers) down(l *peerLink) {
+	p.do(func(now time.Time) { p.drop(now, l) })
+}
+
+// drop ends l and forgets it at once. It does not wait for the link to say that
+// it has ended: the closing handshake with a frozen peer takes seconds, in which
+// requests would still be passed to it. The caller holds mu.
+func (p *Peers) drop(now time.Time, l *peerLink) {
 	l.link.Close("ended")
 	l.failPending()
 	inc := l.addr.Incarnation
-	p.do(func(now time.Time) {
-		if (*p.links.Load())[inc] != l {
-			return
-		}
-		p.replaceLink(inc, nil)
-		p.note(now, l.addr).downSince = now
-		p.opt.Log.Info("peer link lost", "peer", inc)
-		p.announcer.PeerDown(inc)
-	})
+	if (*p.links.Load())[inc] != l {
+		return
+	}
+	p.replaceLink(inc, nil)
+	p.note(now, l.addr).downSince = now
+	p.opt.Log.Info("peer link lost", "peer", inc)
+	p.announcer.PeerDown(inc)
 }
 
 // replaceLink publishes a new table with l for inc, or without inc when l is
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -38,6 +38,7 @@
 	listed    bool                          // entries has been read
 	waiting   map[recovery.Job][]chan recovery.Finding
 	seeds     map[string]time.Time // next dial of an address of the settings
+	judged    time.Time            // when peers were last judged
 	version   int64                // last roster version handed on
 	reading   bool
 	fenced    bool
--- a/internal/peers/suspicion.go
+++ b/internal/peers/suspicion.go
@@ -22,6 +22,10 @@
 }
 
 // judge tells the roster whom to suspect and who is gone. The caller holds mu.
+//
+// An entry that was itself paused finds every peer silent. Were it to close the
+// links, each request that it had passed on would fail on its return; so a late
+// judgement gives the peers their time anew.
 func (p *Peers) judge(now time.Time) {
 	last, _ := p.View().Last()
 	for _, e := range last.Members {
@@ -29,7 +33,12 @@
 			p.note(now, e)
 		}
 	}
+	paused := now.Sub(p.judged) >= silentAfter/2
+	p.judged = now
 	for inc, k := range p.known {
+		if l := (*p.links.Load())[inc]; l != nil && paused {
+			l.lastMs.Store(now.UnixMilli()) // the silence was this entry's own
+		}
 		p.closeSilent(now, inc, last.Has(inc))
 		p.judgeOne(now, inc, k)
 		if p.forgettable(inc, k, last.Has(inc)) {
@@ -58,7 +67,7 @@
 	l := (*p.links.Load())[inc]
 	if l != nil && member && now.UnixMilli()-l.lastMs.Load() >= silentAfter.Milliseconds() {
 		p.opt.count("silent_peer")
-		l.link.Close("silent")
+		p.drop(now, l)
 	}
 }
 
