--- a/internal/pages/code_test.go
+++ b/internal/pages/code_test.go
@@ -1,7 +1,12 @@
 package pages
 
 import (
+	"go/ast"
+	"go/token"
+	"maps"
+	"path/filepath"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -130,3 +135,72 @@
 		return "integer"
 	}
 }
+
+// A figure that nothing counts stays at zero for ever, and an operator takes
+// its zero for good news.
+func TestEveryFigureIsCounted(t *testing.T) {
+	c := qt.New(t)
+	used := make(map[string]bool)
+	for _, dir := range packages(c) {
+		if dir == "internal/telemetry" {
+			continue
+		}
+		for _, f := range parseDir(c, dir) {
+			ast.Inspect(f, func(n ast.Node) bool {
+				if s, ok := n.(*ast.SelectorExpr); ok && isName(s.X, "telemetry") {
+					used[s.Sel.Name] = true
+				}
+				return true
+			})
+		}
+	}
+	byKind := used["RetryAfter"] // counts the reasons that follow from a kind
+	for _, name := range figureConstants(c) {
+		counted := used[name] || byKind && strings.HasPrefix(name, "Retry")
+		c.Check(counted, qt.IsTrue, qt.Commentf("telemetry.%s is never counted", name))
+	}
+}
+
+// packages lists the folders below internal that hold code.
+func packages(c *qt.C) []string {
+	seen := make(map[string]bool)
+	for _, name := range tree(c) {
+		if strings.HasPrefix(name, "internal/") && strings.HasSuffix(name, ".go") && !strings.HasSuffix(name, "_test.go") {
+			seen[filepath.Dir(name)] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// figureTypes are the types whose constants name figures.
+var figureTypes = []string{"Counter", "Gauge", "Latency", "RetryReason"}
+
+// figureConstants lists the exported constants of those types.
+func figureConstants(c *qt.C) []string {
+	var out []string
+	for _, f := range parseDir(c, "internal/telemetry") {
+		for _, d := range f.Decls {
+			if g, ok := d.(*ast.GenDecl); ok && g.Tok == token.CONST {
+				out = append(out, typedNames(g)...)
+			}
+		}
+	}
+	return out
+}
+
+// typedNames gives the exported names of a block that begins with a figure.
+func typedNames(g *ast.GenDecl) []string {
+	first := g.Specs[0].(*ast.ValueSpec)
+	if id, ok := first.Type.(*ast.Ident); !ok || !slices.Contains(figureTypes, id.Name) {
+		return nil
+	}
+	var out []string
+	for _, spec := range g.Specs {
+		for _, name := range spec.(*ast.ValueSpec).Names {
+			if name.IsExported() {
+				out = append(out, name.Name)
+			}
+		}
+	}
+	return out
+}
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -15,10 +15,8 @@
 	TasksStarted
 	TasksAnswered
 	TasksNotStarted
-	StartsRepeated
 	GuardsLost
 	GuardsLeft
-	Quarantines
 	LinksOpened
 	LinksLost
 	LinksRefused
@@ -27,17 +25,7 @@
 	BytesOut
 	BytesIn
 	FramesUnknown
-	FramesMalformed
 	ConfigsApplied
-	ConfigsRejected
-	RecordsInvalid
-	RecordsTooNew
-	StoreCalls
-	StoreErrors
-	RostersAppended
-	FencesSent
-	UpstreamDials
-	UpstreamProbesFailed
 	counterCount
 )
 
@@ -50,16 +38,9 @@
 	ConfigRevision
 	Guards
 	Peers
-	Slots
-	SlotsRunning
-	TasksQueued
 	JobsOpen
 	JobsHeld
-	JobsHeldBytes
-	IdentityFloor
 	RosterVersion
-	WorkersQuarantined
-	StartsHeld
 	Waiters
 	gaugeCount
 )
@@ -72,8 +53,6 @@
 	JobLatency Latency = iota
 	TaskQueueLatency
 	TaskRunLatency
-	StoreLatency
-	ConfigLatency
 	latencyCount
 )
 
@@ -101,64 +80,43 @@
 )
 
 var counterFamilies = [counterCount]Family{
-	JobsAccepted:         {Name: "wigeontray_jobs_accepted_total", Help: "Jobs admitted."},
-	JobsAnswered:         {Name: "wigeontray_jobs_answered_total", Help: "Jobs that ended with every task's result."},
-	JobsFailed:           {Name: "wigeontray_jobs_failed_total", Help: "Admitted jobs that ended marked failed."},
-	JobsCancelled:        {Name: "wigeontray_jobs_cancelled_total", Help: "Admitted jobs that their caller cancelled."},
-	JobsResubmitted:      {Name: "wigeontray_jobs_resubmitted_total", Help: "Submissions of an identity that was known already; nothing was started for them."},
-	JobsForwarded:        {Name: "wigeontray_jobs_forwarded_total", Help: "Requests passed to the entry that owns their identity."},
-	TasksStarted:         {Name: "wigeontray_tasks_started_total", Help: "Starts sent by an entry, or made at a guard."},
-	TasksAnswered:        {Name: "wigeontray_tasks_answered_total", Help: "Tasks whose upstream answered."},
-	TasksNotStarted:      {Name: "wigeontray_tasks_not_started_total", Help: "Tasks of which a guard said that it will never start them."},
-	StartsRepeated:       {Name: "wigeontray_starts_repeated_total", Help: "Starts of a task that the guard had started already; they were not started again."},
-	GuardsLost:           {Name: "wigeontray_guards_lost_total", Help: "Guards whose link broke without a planned stop."},
-	GuardsLeft:           {Name: "wigeontray_guards_left_total", Help: "Guards that announced a planned stop."},
-	Quarantines:          {Name: "wigeontray_quarantines_total", Help: "Times a worker was set aside because its tasks failed."},
-	LinksOpened:          {Name: "wigeontray_links_opened_total", Help: "Links opened to guards, entries or peers."},
-	LinksLost:            {Name: "wigeontray_links_lost_total", Help: "Links that ended for any reason."},
-	LinksRefused:         {Name: "wigeontray_links_refused_total", Help: "Links that ended at their first frame: a wrong key, a version too far away or claims beyond the limits."},
-	FramesOut:            {Name: "wigeontray_frames_out_total", Help: "Frames sent on links."},
-	FramesIn:             {Name: "wigeontray_frames_in_total", Help: "Frames received on links."},
-	BytesOut:             {Name: "wigeontray_bytes_out_total", Help: "Payload bytes sent on links."},
-	BytesIn:              {Name: "wigeontray_bytes_in_total", Help: "Payload bytes received on links."},
-	FramesUnknown:        {Name: "wigeontray_frames_unknown_total", Help: "Frames of a kind that only a newer version knows; they were passed over."},
-	FramesMalformed:      {Name: "wigeontray_frames_malformed_total", Help: "Frames that could not be decoded; their link was closed."},
-	ConfigsApplied:       {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
-	ConfigsRejected:      {Name: "wigeontray_configs_rejected_total", Help: "Configuration snapshots that were not newer than the one in force."},
-	RecordsInvalid:       {Name: "wigeontray_records_invalid_total", Help: "Records read that were not valid; the last valid one stays in force."},
-	RecordsTooNew:        {Name: "wigeontray_records_too_new_total", Help: "Records read with a schema version unknown to this process; the last accepted one stays in force."},
-	StoreCalls:           {Name: "wigeontray_store_calls_total", Help: "Calls made to the platform's store; a waiting watch counts once."},
-	StoreErrors:          {Name: "wigeontray_store_errors_total", Help: "Calls to the platform's store that got no answer or an error."},
-	RostersAppended:      {Name: "wigeontray_rosters_appended_total", Help: "Roster versions that this entry appended."},
-	FencesSent:           {Name: "wigeontray_fences_sent_total", Help: "Fences sent to guards for entries that are gone."},
-	UpstreamDials:        {Name: "wigeontray_upstream_dials_total", Help: "Connections opened from a guard to its upstream."},
-	UpstreamProbesFailed: {Name: "wigeontray_upstream_probes_failed_total", Help: "Health probes that the upstream did not pass."},
+	JobsAccepted:    {Name: "wigeontray_jobs_accepted_total", Help: "Jobs admitted."},
+	JobsAnswered:    {Name: "wigeontray_jobs_answered_total", Help: "Jobs that ended with every task's result."},
+	JobsFailed:      {Name: "wigeontray_jobs_failed_total", Help: "Admitted jobs that ended marked failed."},
+	JobsCancelled:   {Name: "wigeontray_jobs_cancelled_total", Help: "Admitted jobs that their caller cancelled."},
+	JobsResubmitted: {Name: "wigeontray_jobs_resubmitted_total", Help: "Submissions of an identity that was known already; nothing was started for them."},
+	JobsForwarded:   {Name: "wigeontray_jobs_forwarded_total", Help: "Requests passed to the entry that owns their identity."},
+	TasksStarted:    {Name: "wigeontray_tasks_started_total", Help: "Starts sent to guards, repeated ones among them."},
+	TasksAnswered:   {Name: "wigeontray_tasks_answered_total", Help: "Tasks whose upstream answered."},
+	TasksNotStarted: {Name: "wigeontray_tasks_not_started_total", Help: "Tasks of which a guard said that it will never start them."},
+	GuardsLost:      {Name: "wigeontray_guards_lost_total", Help: "Guards whose link broke without a planned stop."},
+	GuardsLeft:      {Name: "wigeontray_guards_left_total", Help: "Guards that announced a planned stop."},
+	LinksOpened:     {Name: "wigeontray_links_opened_total", Help: "Links opened to guards, entries or peers."},
+	LinksLost:       {Name: "wigeontray_links_lost_total", Help: "Links that ended for any reason."},
+	LinksRefused:    {Name: "wigeontray_links_refused_total", Help: "Links that ended at their first frame: a wrong key, a version too far away or claims beyond the limits."},
+	FramesOut:       {Name: "wigeontray_frames_out_total", Help: "Frames sent on links."},
+	FramesIn:        {Name: "wigeontray_frames_in_total", Help: "Frames received on links."},
+	BytesOut:        {Name: "wigeontray_bytes_out_total", Help: "Payload bytes sent on links."},
+	BytesIn:         {Name: "wigeontray_bytes_in_total", Help: "Payload bytes received on links."},
+	FramesUnknown:   {Name: "wigeontray_frames_unknown_total", Help: "Frames of a kind that only a newer version knows; they were passed over."},
+	ConfigsApplied:  {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
 }
 
 var gaugeFamilies = [gaugeCount]Family{
-	Ready:              {Name: "wigeontray_ready", Help: "1 while the process takes new work, else 0."},
-	ConfigRevision:     {Name: "wigeontray_config_revision", Help: "Store revision of the configuration in force."},
-	Guards:             {Name: "wigeontray_guards", Help: "Guards linked now."},
-	Peers:              {Name: "wigeontray_peers", Help: "Entries linked now."},
-	Slots:              {Name: "wigeontray_slots", Help: "Slots of the linked workers, or of this guard's worker."},
-	SlotsRunning:       {Name: "wigeontray_slots_running", Help: "Slots taken by tasks, as far as known here."},
-	TasksQueued:        {Name: "wigeontray_tasks_queued", Help: "Tasks waiting for a slot."},
-	JobsOpen:           {Name: "wigeontray_jobs_open", Help: "Jobs admitted and not yet answered."},
-	JobsHeld:           {Name: "wigeontray_jobs_held", Help: "Job records held for resubmissions."},
-	JobsHeldBytes:      {Name: "wigeontray_jobs_held_bytes", Help: "Memory taken by job records, in bytes, by estimate."},
-	IdentityFloor:      {Name: "wigeontray_identity_floor_ms", Help: "Birth below which identities are refused, in milliseconds of the Unix epoch."},
-	RosterVersion:      {Name: "wigeontray_roster_version", Help: "Version of the newest roster known."},
-	WorkersQuarantined: {Name: "wigeontray_workers_quarantined", Help: "Workers set aside now."},
-	StartsHeld:         {Name: "wigeontray_starts_held", Help: "Starts that a guard remembers."},
-	Waiters:            {Name: "wigeontray_waiters", Help: "Callers' requests open now."},
+	Ready:          {Name: "wigeontray_ready", Help: "1 while the process takes new work, else 0."},
+	ConfigRevision: {Name: "wigeontray_config_revision", Help: "Store revision of the configuration in force."},
+	Guards:         {Name: "wigeontray_guards", Help: "Guards linked now."},
+	Peers:          {Name: "wigeontray_peers", Help: "Entries linked now."},
+	JobsOpen:       {Name: "wigeontray_jobs_open", Help: "Jobs admitted and not yet answered."},
+	JobsHeld:       {Name: "wigeontray_jobs_held", Help: "Job records held for resubmissions."},
+	RosterVersion:  {Name: "wigeontray_roster_version", Help: "Version of the newest roster known."},
+	Waiters:        {Name: "wigeontray_waiters", Help: "Callers' requests open now."},
 }
 
 var latencyFamilies = [latencyCount]Family{
 	JobLatency:       {Name: "wigeontray_job_seconds", Help: "Time from admission of a job to its answer."},
 	TaskQueueLatency: {Name: "wigeontray_task_queue_seconds", Help: "Time a task waited for a slot."},
 	TaskRunLatency:   {Name: "wigeontray_task_run_seconds", Help: "Time a task took on its upstream."},
-	StoreLatency:     {Name: "wigeontray_store_seconds", Help: "Time a call to the platform's store took, watches apart."},
-	ConfigLatency:    {Name: "wigeontray_config_seconds", Help: "Time from seeing a change in the store to having it in force."},
 }
 
 var labelledFamilies = []Family{
--- a/internal/telemetry/retry.go
+++ b/internal/telemetry/retry.go
@@ -5,36 +5,26 @@
 // RetryReason names why something was tried again.
 type RetryReason uint8
 
-// The closed list of retry reasons. The first group counts tasks that were sent
+// The closed list of reasons for sending work again. The first four count tasks that were sent
 // to another guard, each after the first guard's final word that it will never
 // start the task.
 const (
-	RetryBusy             RetryReason = iota // every slot of the worker was taken
-	RetryDraining                            // the guard or its upstream is stopping
-	RetryUpstreamRefused                     // the upstream took no connection
-	RetryNotStarted                          // any other word that the task never started
-	RetrySameGuard                           // a link returned and its open tasks were sent again
-	RetryForward                             // the link to the owning entry broke
-	RetryRedial                              // a link was dialled again
-	RetryStoreConflict                       // a compare-and-swap lost
-	RetryStoreUnavailable                    // a call to the store got no answer
-	RetryStoreWatch                          // a watch ended and was opened again
-	RetryStoreLease                          // a lease was lost and granted anew
+	RetryBusy            RetryReason = iota // every slot of the worker was taken
+	RetryDraining                           // the guard or its upstream is stopping
+	RetryUpstreamRefused                    // the upstream took no connection
+	RetryNotStarted                         // any other word that the task never started
+	RetrySameGuard                          // a link returned and its open tasks were sent again
+	RetryForward                            // the link to the owning entry broke
 	retryCount
 )
 
 var retryNames = [retryCount]string{
-	RetryBusy:             "busy",
-	RetryDraining:         "draining",
-	RetryUpstreamRefused:  "upstream_refused",
-	RetryNotStarted:       "not_started",
-	RetrySameGuard:        "same_guard",
-	RetryForward:          "forward",
-	RetryRedial:           "redial",
-	RetryStoreConflict:    "store_conflict",
-	RetryStoreUnavailable: "store_unavailable",
-	RetryStoreWatch:       "store_watch",
-	RetryStoreLease:       "store_lease",
+	RetryBusy:            "busy",
+	RetryDraining:        "draining",
+	RetryUpstreamRefused: "upstream_refused",
+	RetryNotStarted:      "not_started",
+	RetrySameGuard:       "same_guard",
+	RetryForward:         "forward",
 }
 
 // String gives the reason's word in counters.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -28,7 +28,7 @@
 	r.Failed(errkind.WorkerLost)
 	r.Retried(RetryDraining)
 	r.Inc(JobsAccepted)
-	r.Set(Slots, 88)
+	r.Set(Peers, 88)
 	r.Observe(JobLatency, 3*time.Millisecond)
 	r.Observe(JobLatency, time.Minute)
 	r.ReadCounter(BytesIn, func() int64 { return 77 })
@@ -47,7 +47,7 @@
 		"\nwigeontray_jobs_accepted_total 1\n",
 		"\nwigeontray_guard_refused_busy 4\n",
 		"\nwigeontray_store_latency_us_put{quantile=\"0.5\"} 700\n",
-		"\nwigeontray_slots 88\n",
+		"\nwigeontray_peers 88\n",
 		"\nwigeontray_bytes_in_total 77\n",
 		"\nwigeontray_guards 11\n",
 		`wigeontray_job_seconds_bucket{le="0.002"} 0` + "\n",
