client: identities with the entry that answered last as home

Cause: behind a balancer (n-1)/n of the jobs reach an entry that does not own their identity, and passing one on costs two messages, as many as a job of one task costs at all. Ruled out: letting the receiving entry own any plain key, as a resubmission elsewhere would start it again. A caller that names the entry that answered last on its connection is passed on only when the balancer moves it.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -81,7 +81,7 @@
 	callers, _, _ := s.Addrs()
 	for _, m := range node.SampleMembers() {
 		cl := &client.Client{Entries: []string{"http://" + callers}, Token: m.Token, HTTP: http.DefaultClient}
-		key, err := cl.Ticket(ctx)
+		key, err := cl.Key(ctx)
 		if err != nil {
 			return err
 		}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -13,7 +13,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // Client calls one or more entries.
@@ -22,6 +25,8 @@
 	Entries []string
 	Token   string
 	HTTP    *http.Client
+
+	home atomic.Pointer[string] // the entry that answered last
 }
 
 // Pauses between resubmissions of the same identity.
@@ -68,6 +73,9 @@
 	} `json:"error"`
 }
 
+// homeHeader names the entry that answers.
+const homeHeader = "Wigeontray-Home"
+
 // adviceSame is the advice to resubmit under the same identity.
 const adviceSame = "same"
 
@@ -76,7 +84,23 @@
 	return a.Parsed.Error == nil || a.Parsed.Error.Advice != adviceSame
 }
 
-// Ticket asks for a fresh identity.
+// Key gives a fresh identity whose home is the entry that answered last. Behind
+// a balancer that keeps connections together this is the entry that the next
+// submission reaches, and it need not be passed on to another one: that would
+// cost two messages a job. Before the first answer a ticket is fetched.
+func (c *Client) Key(ctx context.Context) (string, error) {
+	home := c.home.Load()
+	if home == nil {
+		return c.Ticket(ctx)
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return "", fmt.Errorf("draw an identity: %w", err)
+	}
+	return *home + "." + id.String(), nil
+}
+
+// Ticket asks for a fresh identity, born by the clock of the entry that answers.
 func (c *Client) Ticket(ctx context.Context) (string, error) {
 	a, err := c.persist(ctx, func(base string) (*http.Request, error) {
 		return http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/ticket", nil)
@@ -147,6 +171,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("read answer: %w", err)
 	}
+	if home := resp.Header.Get(homeHeader); home != "" {
+		c.home.Store(&home)
+	}
 	a := &Answer{Status: resp.StatusCode, Body: body, After: retryAfter(resp)}
 	if err := json.Unmarshal(body, &a.Parsed); err != nil {
 		return nil, fmt.Errorf("status %d: answer is no JSON: %w", resp.StatusCode, err)
