roster: an answer names the write that it belongs to

Cause: found by reading. The watch shows a write's effect before its answer comes, the write counts as settled, and the next one may be on its way when the answer arrives. It was taken for the answer to the next one, so that an entry could adopt, promise and start under a roster that the store did not hold. The searches had missed it, as their store answered at once.

Change: each Swap has a number and Swapped names it. Both searches hold answers up.

--- a/internal/peers/registry.go
+++ b/internal/peers/registry.go
@@ -223,5 +223,5 @@
 		outcome = roster.OutcomeConflict
 	}
 	p.opt.count([...]string{"roster.swap_unknown", "roster.swap_done", "roster.swap_conflict"}[outcome])
-	p.do(func(now time.Time) { p.machine.Swapped(now, outcome, revision) })
+	p.do(func(now time.Time) { p.machine.Swapped(now, s.ID, outcome, revision) })
 }
--- a/internal/recovery/explore_test.go
+++ b/internal/recovery/explore_test.go
@@ -108,36 +108,49 @@
 	}
 }
 
-// store carries out one compare-and-swap, out of order at times; its answer may
-// be lost, or its sender may give up before it is carried out.
+// store carries out one compare-and-swap, out of order at times, or delivers an
+// answer that was held up. The answer may be lost, or the sender may give up
+// before the write is carried out.
 func (m *model) store() {
-	if len(m.swaps) == 0 {
+	switch {
+	case len(m.answers) > 0 && m.rng.IntN(2) == 0:
+		a := m.answers[0]
+		m.answers = m.answers[1:]
+		m.answer(a)
+		return
+	case len(m.swaps) == 0:
 		return
 	}
 	i := m.rng.IntN(len(m.swaps))
-	s := &m.swaps[i]
-	answer := func(o roster.Outcome, rev int64) {
-		if e := m.entries[s.from]; !e.dead && !s.silent {
-			e.roster.Swapped(m.now, o, rev)
-			m.after(s.from)
-		}
-	}
+	s := m.swaps[i]
 	if !s.silent && m.rng.IntN(5) == 0 {
-		m.swaps[i].silent, s = true, &swap{from: s.from}
-		answer(roster.OutcomeUnknown, 0)
+		m.swaps[i].silent = true
+		m.answer(answer{s.from, s.s.ID, roster.OutcomeUnknown, 0})
 		return
 	}
-	done := *s
-	s = &done
 	m.swaps = slices.Delete(m.swaps, i, i+1)
-	outcome := roster.OutcomeConflict
+	a := answer{s.from, s.s.ID, roster.OutcomeConflict, 0}
 	if s.s.Expect == m.rev {
-		m.value, m.rev, outcome = s.s.Value, m.rev+1, roster.OutcomeDone
+		m.value, m.rev = s.s.Value, m.rev+1
+		a.outcome, a.revision = roster.OutcomeDone, m.rev
 	}
 	if m.rng.IntN(3) == 0 {
-		outcome = roster.OutcomeUnknown
+		a.outcome = roster.OutcomeUnknown
+	}
+	switch {
+	case s.silent:
+	case m.rng.IntN(2) == 0:
+		m.answer(a)
+	default:
+		m.answers = append(m.answers, a)
+	}
+}
+
+func (m *model) answer(a answer) {
+	if e := m.entries[a.to]; !e.dead {
+		e.roster.Swapped(m.now, a.id, a.outcome, a.revision)
+		m.after(a.to)
 	}
-	answer(outcome, m.rev)
 }
 
 // cutOff takes an entry away from the others, who leave it out of the roster or
--- a/internal/recovery/model_test.go
+++ b/internal/recovery/model_test.go
@@ -54,6 +54,7 @@
 	value   []byte
 	rev     int64
 	swaps   []swap
+	answers []answer // of the store, held up
 	keys    []identity.Key
 	starts  map[string]int
 	notRun  map[string]bool
@@ -67,6 +68,13 @@
 	silent bool // the sender gave up
 }
 
+type answer struct {
+	to       name
+	id       uint64
+	outcome  roster.Outcome
+	revision int64
+}
+
 var timing = roster.Options{
 	Period: time.Second, Horizon: 3 * time.Second, JoinLead: 3 * time.Second, Lead: 12 * time.Second,
 	Renew: 4 * time.Second, Retry: time.Second, Takeover: time.Second, RankDelay: time.Millisecond,
--- a/internal/roster/append.go
+++ b/internal/roster/append.go
@@ -43,8 +43,10 @@
 	if m.pending.inFlight || now.Before(m.pending.next) {
 		return
 	}
-	m.pending.inFlight = true
-	m.actions = append(m.actions, Action{Swap: &m.pending.swap})
+	m.swaps++
+	m.pending.swap.ID, m.pending.inFlight = m.swaps, true
+	sent := m.pending.swap
+	m.actions = append(m.actions, Action{Swap: &sent})
 }
 
 // write sends a swap that replaces the history by versions. capMs bounds the
--- a/internal/roster/exhaustive_test.go
+++ b/internal/roster/exhaustive_test.go
@@ -44,6 +44,7 @@
 	promiseOn            // an unanswered append does not cap the promises
 	clockNotBirth        // the owner's clock is compared in place of the birth
 	takeoverByClock      // an outsider's roster begins now and not at the ceiling
+	anyAnswer            // an answer is taken for that to the write on its way
 )
 
 // world is two members, a and b, an outsider c, and the store. A permission is
@@ -57,6 +58,7 @@
 	ahead    [3]bool // the entry's clock runs ahead by skew
 	values   []stored
 	queue    []request // compare-and-swaps on their way
+	answers  []answer  // and their answers
 	starter  [births * variants]int8
 	checked  [3]*View // permissions change with the view only
 }
@@ -72,6 +74,13 @@
 	answered bool // the sender already gave up on it
 }
 
+type answer struct {
+	to       int
+	id       uint64
+	outcome  Outcome
+	revision int64
+}
+
 var worldKeys = func() (out [births * variants]identity.Key) {
 	for i := range out {
 		out[i] = plainKey(epoch.Add(time.Duration(i/variants)*step/2), uint64(i%variants)*7+3)
@@ -106,6 +115,7 @@
 	}
 	c.values = slices.Clone(w.values)
 	c.queue = slices.Clone(w.queue)
+	c.answers = slices.Clone(w.answers)
 	return &c
 }
 
@@ -113,7 +123,7 @@
 	c := &Machine{
 		self: m.self, opt: m.opt, versions: slices.Clone(m.versions), revision: m.revision, stored: m.stored,
 		read: m.read, answered: m.answered, own: m.own, current: maps.Clone(m.current), later: maps.Clone(m.later),
-		joiners: maps.Clone(m.joiners), suspects: maps.Clone(m.suspects), gone: maps.Clone(m.gone),
+		swaps: m.swaps, joiners: maps.Clone(m.joiners), suspects: maps.Clone(m.suspects), gone: maps.Clone(m.gone),
 		leaving: m.leaving, fenced: m.fenced, nextPromise: m.nextPromise, nextRead: m.nextRead,
 		nextJoin: m.nextJoin, joinTurn: m.joinTurn, changeSince: m.changeSince,
 	}
@@ -143,6 +153,7 @@
 	for _, r := range w.queue {
 		fmt.Fprint(&s, r.from, r.answered, r.swap.Expect, string(r.swap.Value))
 	}
+	fmt.Fprint(&s, w.answers)
 	last := w.values[len(w.values)-1]
 	fmt.Fprint(&s, last.revision, string(last.value))
 	return s.String()
@@ -230,7 +241,7 @@
 	w.collect(i, lose)
 }
 
-// execute carries out the oldest request at the store; the answer may be lost.
+// execute carries out the oldest request at the store; its answer may be lost.
 func (w *world) execute(loseAnswer bool) {
 	r := w.queue[0]
 	w.queue = w.queue[1:]
@@ -243,8 +254,21 @@
 	if loseAnswer {
 		outcome = OutcomeUnknown
 	}
-	if !r.answered && !w.dead[r.from] {
-		w.machines[r.from].Swapped(w.clock(r.from), outcome, last.revision+1)
+	if !r.answered {
+		w.answers = append(w.answers, answer{r.from, r.swap.ID, outcome, last.revision + 1})
+	}
+}
+
+// answer delivers the oldest answer of the store.
+func (w *world) answer() {
+	a := w.answers[0]
+	w.answers = w.answers[1:]
+	m := w.machines[a.to]
+	if w.rule == anyAnswer && m.pending != nil {
+		a.id = m.pending.swap.ID
+	}
+	if !w.dead[a.to] {
+		m.Swapped(w.clock(a.to), a.id, a.outcome, a.revision)
 	}
 }
 
@@ -254,7 +278,7 @@
 	r.answered = true
 	w.queue = append(w.queue[1:], r)
 	if !w.dead[r.from] {
-		w.machines[r.from].Swapped(w.clock(r.from), OutcomeUnknown, 0)
+		w.machines[r.from].Swapped(w.clock(r.from), r.swap.ID, OutcomeUnknown, 0)
 	}
 }
 
@@ -271,6 +295,9 @@
 			out = append(out, (*world).giveUp)
 		}
 	}
+	if len(w.answers) > 0 {
+		out = append(out, (*world).answer)
+	}
 	if !w.dead[0] {
 		out = append(out, func(w *world) { w.dead[0] = true })
 	}
@@ -371,7 +398,7 @@
 	"appended, answer lost": {
 		func(w *world) { w.tick(0, false) }, func(w *world) { w.tick(1, false) },
 		func(w *world) { w.read(0, false); w.machines[0].Gone(w.now, "b"); w.collect(0, true) },
-		func(w *world) { w.execute(true) },
+		func(w *world) { w.execute(true); w.answer() },
 	},
 	"outsider believes both gone": {
 		func(w *world) { w.tick(0, false) }, func(w *world) { w.tick(1, false) },
@@ -444,6 +471,7 @@
 	for r, name := range map[rule]string{
 		ownPromiseOnly: "own promise only", promiseOn: "appender goes on promising",
 		clockNotBirth: "clock in place of birth", takeoverByClock: "outsider begins by its clock",
+		anyAnswer: "answer taken for another write's",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/roster/machine.go
+++ b/internal/roster/machine.go
@@ -27,6 +27,7 @@
 	later   map[identity.Incarnation]wire.Promise // under versions not yet known
 
 	pending  *pendingSwap
+	swaps    uint64 // Swap actions so far
 	joiners  map[identity.Incarnation]wire.EntryAddr
 	suspects map[identity.Incarnation]time.Time // since when
 	gone     map[identity.Incarnation]bool      // proved gone, not yet in a roster
@@ -284,10 +285,13 @@
 	return ok && !last.Has(m.self.Incarnation) && last.FromMs <= now.UnixMilli()
 }
 
-// Swapped takes the outcome of the last Swap action.
-func (m *Machine) Swapped(now time.Time, o Outcome, revision int64) {
+// Swapped takes the outcome of the Swap action id. The watch often shows the
+// effect of a write before its answer comes, and the next write may be on its
+// way by then. Taken for the answer to that one, it would have this entry adopt
+// a roster that the store does not hold.
+func (m *Machine) Swapped(now time.Time, id uint64, o Outcome, revision int64) {
 	p := m.pending
-	if p == nil || !p.inFlight {
+	if p == nil || !p.inFlight || p.swap.ID != id {
 		return
 	}
 	p.inFlight = false
--- a/internal/roster/machine_test.go
+++ b/internal/roster/machine_test.go
@@ -126,17 +126,17 @@
 	m := b.machines[from]
 	switch {
 	case b.storeOff:
-		m.Swapped(b.now, OutcomeUnknown, 0)
+		m.Swapped(b.now, s.ID, OutcomeUnknown, 0)
 	case s.Expect != b.revision:
-		m.Swapped(b.now, OutcomeConflict, 0)
+		m.Swapped(b.now, s.ID, OutcomeConflict, 0)
 	default:
 		b.value, b.revision = s.Value, b.revision+1
 		b.writes++
 		if b.loseSwap != nil && b.loseSwap(from) {
-			m.Swapped(b.now, OutcomeUnknown, 0)
+			m.Swapped(b.now, s.ID, OutcomeUnknown, 0)
 			return
 		}
-		m.Swapped(b.now, OutcomeDone, b.revision)
+		m.Swapped(b.now, s.ID, OutcomeDone, b.revision)
 	}
 }
 
@@ -268,7 +268,7 @@
 	c.Assert(m.Stored(epoch, old, 7), qt.IsNil)
 	m.Gone(epoch, "b")
 	capMs := m.pending.capMs
-	m.Swapped(epoch.Add(time.Second), OutcomeUnknown, 0)
+	m.Swapped(epoch.Add(time.Second), m.pending.swap.ID, OutcomeUnknown, 0)
 	c.Assert(m.Stored(epoch.Add(2*time.Second), old, 7), qt.IsNil)
 	m.Tick(epoch.Add(time.Minute))
 	c.Assert(m.own <= capMs, qt.IsTrue)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -109,8 +109,9 @@
 }
 
 // Swap asks for a compare-and-swap of the store's value. Its outcome goes to
-// Swapped.
+// Swapped, under the same ID.
 type Swap struct {
+	ID     uint64
 	Expect int64 // the key's ModRevision, 0 for no key
 	Value  []byte
 }
