entry: a guard opens links with a key of its own member

Cause: guards run on the members' VMs and held the fleet's key, and an entry believed any guard's word on whose service it serves. An operator of one member could announce a rival's service and be handed its requests.

Ruled out: naming the member in the guard's certificate. It would bind a member's rotation to whoever keeps the authority, and sites without TLS would stay open. Also ruled out: refusing guards while an entry has no configuration. An entry that starts in an outage of the store gets its configuration from guards alone.

Change: member records list the hashes of guard keys in guard_key_sha256, two during a rotation. An entry takes a guard's link only with a listed key, and with the fleet's only if none is listed. Before any configuration is in force a link carries the sealed configuration and the guard's load and nothing else; it is not listed and gets no task. After each change all links are judged again, before the change is passed on, and those whose key was removed are closed. A key that is also a caller's token is refused in the record. A refused guard gets no Welcome, as before, since it would dial again at once after one.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -92,6 +92,8 @@
 	dir       string
 	kv        *standin.Server
 	kvURL     string
+	fleetKey  string // path of the entries' key; empty for none
+	member    int64  // revision of ayni's record
 	entries   map[string]*entryProcess
 	upstreams map[string]*sample.Upstream
 }
@@ -128,15 +130,21 @@
 	})
 	f.kvURL = srv.URL
 	hash := record.HashToken(token)
-	f.put(record.KindMember, "ayni", fmt.Sprintf(`{"kind":"member","name":"ayni","schema":1,"token_sha256":["%x"]}`, hash[:]))
-	f.put(record.KindService, "ayni/reserva", `{"kind":"service","name":"ayni/reserva","schema":1,"path":"/reserva/run"}`)
+	f.amendMember(fmt.Sprintf(`"token_sha256":["%x"]`, hash[:]))
+	f.put(record.KindService, "ayni/reserva", `{"kind":"service","name":"ayni/reserva","schema":1,"path":"/reserva/run"}`, 0)
 	return f
 }
 
-func (f *fleet) put(kind record.Kind, name, value string) {
+func (f *fleet) put(kind record.Kind, name, value string, revision int64) int64 {
 	kv := store.NewEtcd(store.Options{Endpoints: []string{f.kvURL}})
-	_, err := kv.Put(context.Background(), record.Key(kind, name), []byte(value), 0, 0)
+	now, err := kv.Put(context.Background(), record.Key(kind, name), []byte(value), revision, 0)
 	f.Assert(err, qt.IsNil)
+	return now
+}
+
+// amendMember writes the fields of ayni's record.
+func (f *fleet) amendMember(fields string) {
+	f.member = f.put(record.KindMember, "ayni", `{"kind":"member","name":"ayni","schema":1,`+fields+`}`, f.member)
 }
 
 func (f *fleet) start(binary string, args ...string) *process {
@@ -176,9 +184,11 @@
 addresses = %s
 [store]
 endpoints = %s
+[fleet]
+key_file = %s
 [log]
 format = json
-`, name, strings.Join(peers, ","), f.kvURL)
+`, name, strings.Join(peers, ","), f.kvURL, f.fleetKey)
 	e := &entryProcess{process: f.start("wigeontray", "serve", "--config", f.file(name+".ini", ini))}
 	f.eventually("entry "+name+" tells its addresses", e.readAddresses)
 	f.entries[name] = e
@@ -218,6 +228,20 @@
 }
 
 func (f *fleet) guard(name, upstream string) *process {
+	p := f.guardWith(name, upstream, f.fleetKey)
+	for id, e := range f.entries {
+		f.eventually("guard "+name+" is used by "+id, func() bool { return f.lists(e, name) })
+	}
+	return p
+}
+
+// lists tells whether a guard is used by an entry.
+func (f *fleet) lists(e *entryProcess, guard string) bool {
+	return strings.Contains(f.get(e, "/v1/status"), `"`+guard+`-`)
+}
+
+// guardWith starts a guard with the key in a file, and does not wait for it.
+func (f *fleet) guardWith(name, upstream, keyFile string) *process {
 	var entries []string
 	for _, e := range f.entries {
 		entries = append(entries, e.inner)
@@ -234,12 +258,10 @@
 service = ayni/reserva
 [listen]
 admin = 127.0.0.1:0
-`, name, strings.Join(entries, ","), upstream)
-	p := f.start("wigeontray-guard", "--config", f.file(name+".ini", ini))
-	for id, e := range f.entries {
-		f.eventually("guard "+name+" is used by "+id, func() bool { return strings.Contains(f.get(e, "/v1/status"), `"`+name+`-`) })
-	}
-	return p
+[fleet]
+key_file = %s
+`, name, strings.Join(entries, ","), upstream, keyFile)
+	return f.start("wigeontray-guard", "--config", f.file(name+".ini", ini))
 }
 
 func (f *fleet) eventually(what string, ok func() bool) {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -69,6 +69,19 @@
 	return m.Name, true
 }
 
+// GuardKeys implements Config.
+func (c *SyncedConfig) GuardKeys(member string) ([]record.TokenHash, bool) {
+	snap := c.sync.Current()
+	if snap == nil {
+		return nil, false
+	}
+	m, ok := snap.Member(member)
+	if !ok {
+		return nil, false
+	}
+	return m.GuardKeys, true
+}
+
 // CheckRegion implements Config. An identity must have one owner in the world;
 // since rosters are kept for each region, a member's requests are accepted in
 // one region only.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
+	"wigeontray/internal/record"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 )
@@ -42,6 +43,9 @@
 	// or not trustworthy is passed over and counted.
 	FromPeer(c *wire.Config)
 	FromGuard(c *wire.Config)
+	// GuardKeys gives the hashes of a member's guard keys; known is false if the
+	// member has no record in force.
+	GuardKeys(member string) (keys []record.TokenHash, known bool)
 	// Member authenticates a bearer token.
 	Member(token string) (name string, ok bool)
 	// CheckRegion refuses, with WrongRegion, a member that is served elsewhere.
@@ -59,7 +63,7 @@
 type Options struct {
 	ID          identity.Incarnation
 	Domain      string
-	FleetKey    string
+	FleetKey    string // accepted of guards whose member lists no key of its own
 	Software    string
 	MaxBody     int64         // bytes in a submission
 	MaxSlots    int           // slots that one guard may claim
@@ -105,7 +109,8 @@
 	config   Config
 	router   Router
 	registry *jobs.Registry
-	links    *linkTable
+	links    *linkTable // verified guards
+	greeted  greetedTable
 	lanes    sync.Map // service to *lane; written once a service
 	laneMu   sync.Mutex
 	// announceMu keeps a guard's return and the decision to give up on it apart.
@@ -128,6 +133,7 @@
 	s := &Server{
 		opts: o, id: o.ID, config: o.Config, router: o.Router,
 		registry: jobs.New(o.Jobs), links: newLinkTable(),
+		greeted: greetedTable{links: make(map[*guardLink]struct{})},
 		metrics: o.Metrics, log: o.Log, traffic: new(wire.Traffic),
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
@@ -189,7 +195,9 @@
 }
 
 // configChanged puts a new snapshot in force here and passes it to the guards.
+// Links are judged first: one whose key was removed must get nothing more.
 func (s *Server) configChanged() {
+	s.verifyAll()
 	s.Reconfigure()
 	s.metrics.Inc(telemetry.ConfigsApplied)
 	s.eachLane(func(l *lane) {
--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"crypto/subtle"
+	"crypto/sha256"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"wigeontray/internal/identity"
+	"wigeontray/internal/record"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 )
@@ -20,6 +22,14 @@
 type guardLink struct {
 	link  wire.Link
 	hello *wire.Hello
+	key   [sha256.Size]byte    // hash of the key with which the link was opened
+	lane  atomic.Pointer[lane] // nil until the key is verified
+}
+
+func newGuardLink(link wire.Link, h *wire.Hello) *guardLink {
+	g := &guardLink{link: link, hello: h, key: record.HashToken(h.Key)}
+	h.Key = "" // not to be kept in memory
+	return g
 }
 
 // serveGuard handles a guard's link from its upgrade to its end.
@@ -36,31 +46,55 @@
 // has ended.
 func (s *Server) ServeGuardLink(ctx context.Context, link wire.Link) {
 	defer link.Close("done")
-	hello, err := s.greet(ctx, link)
+	g, err := s.greet(ctx, link)
 	if err != nil {
 		s.metrics.Inc(telemetry.LinksRefused)
 		s.log.Warn("guard refused", "err", err)
 		return
 	}
-	g := &guardLink{link: link, hello: hello}
+	// The link is listed before it is judged, so that a configuration that comes
+	// into force meanwhile judges it too.
+	s.greeted.add(g)
+	if s.verify(g) {
+		s.shareConfig(g)
+	}
+	err = s.pump(ctx, g)
+	s.delist(g, err)
+}
+
+// enlist puts a verified link to use; false if the entry is closing.
+func (s *Server) enlist(g *guardLink) bool {
+	h := g.hello
 	// The lane is there before the link is listed, so that a change of the
 	// configuration, which goes out by lane, cannot miss the guard.
-	l := s.lane(hello.Service)
+	l := s.lane(h.Service)
 	if !s.links.add(g) {
-		return
+		g.link.Close("entry stops")
+		return false
 	}
-	s.log.Info("guard up", "guard", hello.Incarnation, "service", hello.Service, "worker", hello.Worker, "slots", hello.Slots)
+	g.lane.Store(l)
+	s.log.Info("guard up", "guard", h.Incarnation, "service", h.Service, "worker", h.Worker, "slots", h.Slots)
 	s.metrics.Inc(telemetry.LinksOpened)
-	s.shareConfig(g)
 	s.announce(g)
-	err = s.pump(ctx, l, g)
+	return true
+}
+
+// delist forgets a link that has ended.
+func (s *Server) delist(g *guardLink, err error) {
+	s.greeted.mu.Lock()
+	defer s.greeted.mu.Unlock()
+	delete(s.greeted.links, g)
+	l := g.lane.Load()
+	if l == nil {
+		return
+	}
 	l.down(g)
 	s.metrics.Inc(telemetry.LinksLost)
 	if s.links.remove(g) {
-		s.router.GuardDown(hello.Incarnation)
-		time.AfterFunc(forgetAfter, func() { s.forget(hello.Incarnation) })
+		s.router.GuardDown(g.hello.Incarnation)
+		time.AfterFunc(forgetAfter, func() { s.forget(g.hello.Incarnation) })
 	}
-	s.log.Info("guard down", "guard", hello.Incarnation, "err", err)
+	s.log.Info("guard down", "guard", g.hello.Incarnation, "err", err)
 }
 
 // forgetAfter is how long a guard's link may be down before the entry gives up
@@ -103,8 +137,10 @@
 	}
 }
 
-// greet reads and checks the Hello and answers it.
-func (s *Server) greet(ctx context.Context, link wire.Link) (*wire.Hello, error) {
+// greet reads and checks the Hello and answers it. A key that is known to be
+// wrong gets no Welcome: the guard would take it for success and dial again at
+// once.
+func (s *Server) greet(ctx context.Context, link wire.Link) (*guardLink, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	f, err := link.Recv(ctx)
@@ -115,6 +151,10 @@
 	if err := s.checkHello(h); err != nil {
 		return nil, err
 	}
+	g := newGuardLink(link, h)
+	if s.verdict(g) == rejected {
+		return nil, fmt.Errorf("guard %s of %s: %w", h.Incarnation, h.Service, errWrongKey)
+	}
 	welcome := &wire.Welcome{
 		Version:     min(wire.Version, h.Version),
 		Incarnation: s.id,
@@ -125,18 +165,16 @@
 	if err := link.Send(&wire.Frame{Welcome: welcome}); err != nil {
 		return nil, fmt.Errorf("send welcome: %w", err)
 	}
-	return h, nil
+	return g, nil
 }
 
-// checkHello refuses peers of another fleet, of a version too far away, or with
-// claims that no worker can meet: one that announces a million slots would draw
-// all work to itself.
+// checkHello refuses guards of a version too far away, or with claims that no
+// worker can meet: one that announces a million slots would draw all work to
+// itself.
 func (s *Server) checkHello(h *wire.Hello) error {
 	switch {
 	case h == nil:
 		return fmt.Errorf("first frame is no hello")
-	case !s.keyMatches(h.Key):
-		return fmt.Errorf("wrong fleet key")
 	case h.MinVersion > wire.Version || h.Version < wire.MinVersion:
 		return fmt.Errorf("protocol versions %d to %d, here %d to %d", h.MinVersion, h.Version, wire.MinVersion, wire.Version)
 	case h.Incarnation == "" || h.Service == "":
@@ -147,20 +185,17 @@
 	return nil
 }
 
-// keyMatches compares in constant time, so that the key cannot be found byte
-// by byte from how long a refusal takes.
-func (s *Server) keyMatches(key string) bool {
-	return subtle.ConstantTimeCompare([]byte(key), []byte(s.opts.FleetKey)) == 1
-}
-
 // pump reads the link until it ends.
-func (s *Server) pump(ctx context.Context, l *lane, g *guardLink) error {
+func (s *Server) pump(ctx context.Context, g *guardLink) error {
 	for {
 		f, err := g.link.Recv(ctx)
 		if err != nil {
 			return err
 		}
+		l := g.lane.Load()
 		switch {
+		case l == nil:
+			s.fromUnverified(g, f)
 		case f.Result != nil, f.Load != nil, f.Offer != nil, f.Goodbye != nil:
 			l.receive(g, f)
 		case f.Config != nil:
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -16,13 +16,18 @@
 	"wigeontray/internal/dispatch"
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
+	"wigeontray/internal/record"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 	"wigeontray/internal/wire/wiretest"
 )
 
 // fixedConfig knows two members whose tokens are their names.
-type fixedConfig struct{ revision int64 }
+type fixedConfig struct {
+	revision int64
+	keys     map[string][]record.TokenHash // guard keys by member
+	offers   int                           // configurations that guards offered
+}
 
 func (c *fixedConfig) Revision() int64        { return c.revision }
 func (c *fixedConfig) ForPeers() *wire.Config { return nil }
@@ -30,7 +35,10 @@
 	return &wire.Config{Revision: c.revision, Snapshot: []byte("snapshot")}
 }
 func (c *fixedConfig) FromPeer(*wire.Config)  {}
-func (c *fixedConfig) FromGuard(*wire.Config) {}
+func (c *fixedConfig) FromGuard(*wire.Config) { c.offers++ }
+func (c *fixedConfig) GuardKeys(member string) ([]record.TokenHash, bool) {
+	return c.keys[member], true
+}
 func (c *fixedConfig) Member(token string) (string, bool) {
 	return token, token == "ayni" || token == "leeuwin"
 }
@@ -82,36 +90,56 @@
 	*qt.C
 	t       *testing.T
 	s       *Server
+	config  *fixedConfig
 	handler http.Handler
 }
 
 func newBench(t *testing.T) *bench {
 	const id = "entry-a-000001"
 	router := &soleRouter{id: id, known: make(map[identity.Incarnation]bool)}
+	config := &fixedConfig{revision: 7}
 	s := New(Options{
-		ID: id, Config: &fixedConfig{revision: 7}, Router: router,
+		ID: id, Config: config, Router: router,
 		Metrics: telemetry.New(), Log: log.New(io.Discard), FleetKey: "fleet",
 	})
 	router.ready = s.GuardReady
 	t.Cleanup(s.Close)
-	return &bench{C: qt.New(t), t: t, s: s, handler: s.Handler()}
+	return &bench{C: qt.New(t), t: t, s: s, config: config, handler: s.Handler()}
 }
 
 // guard links a guard of ayni/reserva and returns the guard's end.
 func (b *bench) guard(incarnation string, slots int) *wiretest.End {
+	return b.guardOf("ayni/reserva", incarnation, "fleet", slots)
+}
+
+// guardOf links a guard of any service with any key. The link may be closed.
+func (b *bench) guardOf(service, incarnation, key string, slots int) *wiretest.End {
 	ours, theirs := wiretest.Pipe()
 	go b.s.ServeGuardLink(context.Background(), ours)
 	hello := &wire.Hello{
 		Version: wire.Version, MinVersion: wire.MinVersion, Incarnation: identity.Incarnation(incarnation),
-		Service: "ayni/reserva", Worker: incarnation, Slots: slots, Key: "fleet",
+		Service: service, Worker: incarnation, Slots: slots, Key: key,
 		Load: wire.Load{Seq: 1, Slots: slots, Healthy: true},
 	}
 	b.Assert(theirs.Send(&wire.Frame{Hello: hello}), qt.IsNil)
-	b.Assert(b.next(theirs).Welcome, qt.IsNotNil)
 	synctest.Wait()
+	if !closed(theirs) {
+		b.Assert(b.next(theirs).Welcome, qt.IsNotNil)
+	}
 	return theirs
 }
 
+// closed tells whether the entry has closed a guard's link.
+func closed(l wire.Link) bool {
+	synctest.Wait()
+	select {
+	case <-l.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // next reads the next frame that is no configuration.
 func (b *bench) next(l wire.Link) *wire.Frame {
 	b.t.Helper()
--- a/internal/guard/links.go
+++ b/internal/guard/links.go
@@ -171,7 +171,7 @@
 		Service: g.opt.Service, Worker: g.opt.Worker, Rack: g.opt.Rack,
 		Domain: g.opt.Domain, Region: g.opt.Region, Slots: g.opt.Slots,
 		Accelerator: g.opt.Accelerator, Revision: g.revision(), Load: g.ledger.Load(),
-		Software: g.opt.Software, Key: g.opt.FleetKey,
+		Software: g.opt.Software, Key: g.opt.Key,
 	}
 }
 
--- a/internal/guard/options.go
+++ b/internal/guard/options.go
@@ -37,9 +37,9 @@
 
 // Options configures a Guard. A zero field takes its default where one exists.
 type Options struct {
-	Entries  []string    // host:port of the entries' inner protocol
-	TLS      *tls.Config // towards entries; nil dials them in plain text
-	FleetKey string      // shared key of the fleet, sent in Hello
+	Entries []string    // host:port of the entries' inner protocol
+	TLS     *tls.Config // towards entries; nil dials them in plain text
+	Key     string      // the member's guard key, or the fleet's; sent in Hello
 
 	Service     string // "member/service"
 	Worker      string // lower-case letters, digits and dashes
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -43,7 +43,7 @@
 	}
 	key, err := set.Fleet.Key()
 	if err != nil {
-		return nil, fmt.Errorf("fleet key: %w", err)
+		return nil, fmt.Errorf("key of links: %w", err)
 	}
 	dialTLS, err := set.TLS.Client()
 	if err != nil {
@@ -52,7 +52,7 @@
 	member, _, _ := strings.Cut(set.Upstream.Service, "/")
 	figures := telemetry.New()
 	return &guard.Options{
-		Entries: set.Entries, TLS: dialTLS, FleetKey: key,
+		Entries: set.Entries, TLS: dialTLS, Key: key,
 		Service: set.Upstream.Service, Worker: set.Worker, Rack: set.Rack, Domain: set.FailureDomain, Region: set.Region,
 		Accelerator: int(set.Accelerators), Slots: int(set.Upstream.Slots),
 		Upstream: set.Upstream.URL, Path: set.Upstream.Path,
--- a/internal/record/kinds.go
+++ b/internal/record/kinds.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -20,7 +21,7 @@
 // Limits and defaults of fields.
 const (
 	MaxTasks          = 500 // tasks in a job
-	maxTokens         = 2   // a second one while tokens are changed over
+	maxTokens         = 2   // of tokens or guard keys; the second one while they are changed over
 	maxTeams          = 1000
 	maxDeadlineMs     = 3_600_000
 	maxBodyBytes      = 4 << 20
@@ -34,8 +35,8 @@
 	maxGraceMs        = 60_000
 )
 
-// TokenHash is the SHA-256 of a caller's token. A plain hash is enough since
-// tokens are random and long; they are no passwords.
+// TokenHash is the SHA-256 of a caller's token or a guard's key. A plain hash is
+// enough since both are random and long; they are no passwords.
 type TokenHash [32]byte
 
 // Member is one member of the consortium.
@@ -46,6 +47,9 @@
 	// Tokens are the hashes of the tokens that are good now: two while one is
 	// being replaced by another.
 	Tokens []TokenHash
+	// GuardKeys are the hashes of the keys with which the member's guards may open
+	// links, two during a rotation; none leaves the fleet's key.
+	GuardKeys []TokenHash
 	// Teams may be named in submissions.
 	Teams []string
 }
@@ -87,12 +91,13 @@
 	if m.HomeRegion != "" && !regionForm.MatchString(m.HomeRegion) {
 		o.fail("home_region", "%q is not a region's name", m.HomeRegion)
 	}
-	for i, text := range o.strings("token_sha256", maxTokens) {
-		h, ok := parseHash(text)
-		if !ok {
-			o.fail("token_sha256."+strconv.Itoa(i), "want 64 lower-case hexadecimal digits")
+	m.Tokens = readHashes(o, "token_sha256")
+	m.GuardKeys = readHashes(o, "guard_key_sha256")
+	for i, h := range m.GuardKeys {
+		// Whoever has the VM of an upstream could submit as the member.
+		if slices.Contains(m.Tokens, h) {
+			o.fail("guard_key_sha256."+strconv.Itoa(i), "is a caller's token as well")
 		}
-		m.Tokens = append(m.Tokens, h)
 	}
 	m.Teams = o.strings("teams", maxTeams)
 	for i, team := range m.Teams {
@@ -103,6 +108,19 @@
 	return m
 }
 
+// readHashes reads the hashes of the secrets that are good now.
+func readHashes(o *object, field string) []TokenHash {
+	var out []TokenHash
+	for i, text := range o.strings(field, maxTokens) {
+		h, ok := parseHash(text)
+		if !ok {
+			o.fail(field+"."+strconv.Itoa(i), "want 64 lower-case hexadecimal digits")
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
 func parseHash(text string) (h TokenHash, ok bool) {
 	b, err := hex.DecodeString(text)
 	if err != nil || len(b) != len(h) || strings.ToLower(text) != text {
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,6 +61,7 @@
 // leaves a team without its quota or a service with a default nobody chose; the
 // operator must be told the field.
 func TestSlipsAreRefusedWithTheirField(t *testing.T) {
+	hexDigits := strings.Repeat("0a", len(TokenHash{}))
 	for value, want := range map[string]string{
 		`{"kind":"service","name":"a/b","schema":2,"deadline_ms":1}`:                                                                      `deadline_ms: unknown field`,
 		`{"kind":"service","name":"a/b","schema":1,"max_body":1}`:                                                                         `max_body: unknown field`,
@@ -78,6 +80,8 @@
 		`{"kind":"policy","name":"a/b","schema":1,"weighting":"fast"}`:                                                                    `weighting: "fast" is none of .*`,
 		`{"kind":"job","name":"a/b","schema":1,"service":"c/d"}`:                                                                          `service: "c/d" belongs to another member`,
 		`{"kind":"member","name":"a","schema":1,"token_sha256":["secret"]}`:                                                               `token_sha256.0: want 64 .*`,
+		`{"kind":"member","name":"a","schema":1,"guard_key_sha256":["secret"]}`:                                                           `guard_key_sha256.0: want 64 .*`,
+		`{"kind":"member","name":"a","schema":1,"token_sha256":["` + hexDigits + `"],"guard_key_sha256":["` + hexDigits + `"]}`:           `guard_key_sha256.0: is a caller's token as well`,
 		`{"kind":"member","name":"a","schema":1} {}`:                                                                                      `more follows after the JSON object`,
 		`{"kind":"member","name":"a","schema":1`:                                                                                          `malformed JSON: .*`,
 		`{"kind":"policy","name":"a/b","schema":1,"retry_ratio":2,"max_queued":-1}`:                                                       `max_queued: .*\nretry_ratio: .*`,
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -114,14 +114,15 @@
 
 // Fleet holds what only processes of this system know.
 type Fleet struct {
-	// KeyFile is the path of the file that holds the shared key.
+	// KeyFile is the path of the file that holds the key of links: that which all
+	// entries share, or a guard's.
 	KeyFile string
 }
 
-// minKeyLen is the least length of the shared key, in bytes.
+// minKeyLen is the least length of a key, in bytes.
 const minKeyLen = 16
 
-// Key reads the shared key; empty without a KeyFile.
+// Key reads the key of links; empty without a KeyFile.
 func (f *Fleet) Key() (string, error) { return readKey("key_file", f.KeyFile) }
 
 // readKey reads a key of section fleet from its file.
@@ -168,10 +169,9 @@
 	}
 }
 
-func fleetFields[T any](at func(*T) *Fleet) []field[T] {
+func fleetFields[T any](doc string, at func(*T) *Fleet) []field[T] {
 	return []field[T]{
-		text("fleet", "key_file", "", "File with the key that all processes of the system share; at least 16 bytes. A link whose key differs is refused.",
-			func(t *T) *string { return &at(t).KeyFile }),
+		text("fleet", "key_file", "", doc, func(t *T) *string { return &at(t).KeyFile }),
 	}
 }
 
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -86,7 +86,8 @@
 		millis("roster", "ceiling_ms", 3_600_000, 10_000, 86_400_000, "Time for which entries promise ahead in the store. Identities without a home are served that long in an outage of the store, and refused that long at most after all entries of the region were lost at once. A site with one entry sets a short one.", func(e *Entry) *time.Duration { return &e.Roster.Ceiling }),
 	},
 	tlsFields(func(e *Entry) *TLS { return &e.TLS }),
-	fleetFields(func(e *Entry) *Fleet { return &e.Fleet }),
+	fleetFields("File with the key that all entries share; at least 16 bytes. A link of an entry whose key differs is refused, and so is one of a guard whose member lists no guard key.",
+		func(e *Entry) *Fleet { return &e.Fleet }),
 	[]field[Entry]{
 		text("fleet", "config_key_file", "", "File with the key that all entries, and no guard, share; at least 16 bytes. With it guards keep the configuration, sealed, for entries that start while the store is down.", func(e *Entry) *string { return &e.ConfigKeyFile }),
 		hash("operators", "consortium_token_sha256", "SHA-256, in hexadecimal, of the token that may create, amend and delete member records.", func(e *Entry) *string { return &e.Operators.ConsortiumTokenSHA256 }),
--- a/internal/settings/guard.go
+++ b/internal/settings/guard.go
@@ -62,7 +62,8 @@
 		address("listen", "admin", "127.0.0.1:7013", "Address for health, readiness and counters.", func(g *Guard) *string { return &g.Admin }),
 	},
 	tlsFields(func(g *Guard) *TLS { return &g.TLS }),
-	fleetFields(func(g *Guard) *Fleet { return &g.Fleet }),
+	fleetFields("File with the member's guard key, whose SHA-256 stands in the member's record as `guard_key_sha256`; at least 16 bytes. If the record lists none, the entries' key.",
+		func(g *Guard) *Fleet { return &g.Fleet }),
 	[]field[Guard]{
 		headerTimeout(func(g *Guard) *time.Duration { return &g.Limits.HeaderTimeout }),
 		integer("limits", "answer_bytes", "bytes", 4*mib, kib, 4*mib, "Largest answer of the upstream to one task.", func(g *Guard) *int64 { return &g.Limits.AnswerBytes }),
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -22,11 +22,13 @@
 	LinksOpened
 	LinksLost
 	LinksRefused
+	LinksRevoked
 	FramesOut
 	FramesIn
 	BytesOut
 	BytesIn
 	FramesUnknown
+	FramesRefused
 	FramesMalformed
 	ConfigsApplied
 	ConfigsRejected
@@ -117,11 +119,13 @@
 	LinksOpened:          {Name: "wigeontray_links_opened_total", Help: "Links opened to guards, entries or peers."},
 	LinksLost:            {Name: "wigeontray_links_lost_total", Help: "Links that ended for any reason."},
 	LinksRefused:         {Name: "wigeontray_links_refused_total", Help: "Links that ended at their first frame: a wrong key, a version too far away or claims beyond the limits."},
+	LinksRevoked:         {Name: "wigeontray_links_revoked_total", Help: "Links of guards that were closed because their member's record no longer lists their key."},
 	FramesOut:            {Name: "wigeontray_frames_out_total", Help: "Frames sent on links."},
 	FramesIn:             {Name: "wigeontray_frames_in_total", Help: "Frames received on links."},
 	BytesOut:             {Name: "wigeontray_bytes_out_total", Help: "Payload bytes sent on links."},
 	BytesIn:              {Name: "wigeontray_bytes_in_total", Help: "Payload bytes received on links."},
 	FramesUnknown:        {Name: "wigeontray_frames_unknown_total", Help: "Frames of a kind that only a newer version knows; they were passed over."},
+	FramesRefused:        {Name: "wigeontray_frames_refused_total", Help: "Frames that their sender may not send: of a guard whose key is not verified yet, of the other kind of link, or about another member's job. They had no effect."},
 	FramesMalformed:      {Name: "wigeontray_frames_malformed_total", Help: "Frames that could not be decoded; their link was closed."},
 	ConfigsApplied:       {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
 	ConfigsRejected:      {Name: "wigeontray_configs_rejected_total", Help: "Configuration snapshots that were not newer than the one in force."},
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -66,7 +66,7 @@
 	Revision    int64                `cbor:"11,keyasint,omitempty"` // configuration in force at the guard
 	Load        Load                 `cbor:"12,keyasint"`
 	Software    string               `cbor:"13,keyasint,omitempty"` // version of the binary
-	Key         string               `cbor:"14,keyasint,omitempty"` // shared key of the fleet
+	Key         string               `cbor:"14,keyasint,omitempty"` // the member's guard key, or the fleet's
 }
 
 // Welcome accepts a link.
