entry: what a guard reports before its link is used is kept

Cause: e2e.TestEntryKilledBeforeTheStart got no_workers once on a busy machine. The guard's Hello was older than its upstream's first health check; the report that followed came while the entry waited for its witness, and was dropped with all frames of a link not yet in the lane. The guard then looked unhealthy until its next change. Ruled out: quarantine (a single worker is never set aside) and a later health check (the guard logged no change). The newest report now goes into the Hello. TestReportBeforeTheLinkIsUsed failed before.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -314,3 +314,27 @@
 		b.Assert(time.Since(began), qt.Equals, helloTimeout)
 	})
 }
+
+// A guard links before its upstream has passed the first health check, and says
+// that it has while the entry still waits to use it. The report must count, or
+// each request is refused for want of workers until the next change.
+func TestReportBeforeTheLinkIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.router.hold = make(chan struct{})
+		ours, theirs := wiretest.Pipe()
+		go b.s.ServeGuardLink(context.Background(), ours)
+		b.Assert(theirs.Send(&wire.Frame{Hello: &wire.Hello{
+			Version: 1, MinVersion: 1, Incarnation: "guard-1", Service: "ayni/reserva", Worker: "w1", Slots: 8, Key: "fleet",
+			Load: wire.Load{Seq: 1, Slots: 8},
+		}}), qt.IsNil)
+		b.Assert(b.next(theirs).Welcome, qt.IsNotNil)
+		b.Assert(theirs.Send(&wire.Frame{Load: &wire.Load{Seq: 2, Slots: 8, Healthy: true}}), qt.IsNil)
+		synctest.Wait()
+		close(b.router.hold)
+		synctest.Wait()
+		answer := b.post("ayni", b.ticket(), booking)
+		b.ok(theirs, b.next(theirs).Start, `1`)
+		b.Assert((<-answer).Code, qt.Equals, http.StatusOK)
+	})
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -58,12 +58,20 @@
 	id    identity.Incarnation
 	ready func(identity.Incarnation)
 	known map[identity.Incarnation]bool
+	hold  chan struct{} // delays readiness until it is closed, if set
 }
 
 func (r *soleRouter) MayStart(string, identity.Key) *errkind.Error { return nil }
 func (r *soleRouter) GuardUp(g identity.Incarnation) {
 	if !r.known[g] { // as the real one, it says so once
 		r.known[g] = true
+		if r.hold != nil {
+			go func() {
+				<-r.hold
+				r.ready(g)
+			}()
+			return
+		}
 		r.ready(g)
 	}
 }
@@ -90,6 +98,7 @@
 	*qt.C
 	t       *testing.T
 	s       *Server
+	router  *soleRouter
 	config  *fixedConfig
 	handler http.Handler
 }
@@ -104,7 +113,7 @@
 	})
 	router.ready = s.GuardReady
 	t.Cleanup(s.Close)
-	return &bench{C: qt.New(t), t: t, s: s, config: config, handler: s.Handler()}
+	return &bench{C: qt.New(t), t: t, s: s, router: router, config: config, handler: s.Handler()}
 }
 
 // guard links a guard of ayni/reserva and returns the guard's end.
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -155,6 +155,7 @@
 	l.do(func(now time.Time, m dispatch.Machine) {
 		id := g.hello.Incarnation
 		if l.links[id] != g {
+			g.note(f)
 			return
 		}
 		switch {
@@ -170,6 +171,20 @@
 	})
 }
 
+// note keeps what a guard says of itself before its link is put to use. The
+// Hello may be older than its upstream's first health check; if the report that
+// follows were lost, the guard would look unhealthy until its next change, and
+// every request would be refused for want of workers. The lane's lock is held.
+func (g *guardLink) note(f *wire.Frame) {
+	load := &g.hello.Load
+	switch {
+	case f.Load != nil && f.Load.Seq > load.Seq:
+		*load = *f.Load
+	case f.Goodbye != nil:
+		load.Draining = true
+	}
+}
+
 func (l *lane) configure(p dispatch.Policy) {
 	l.do(func(now time.Time, m dispatch.Machine) { m.Configure(now, p) })
 }
