--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,24 +11,17 @@
 
 	"github.com/alecthomas/kong"
 
+	"wigeontray/internal/operator"
 	"wigeontray/internal/telemetry"
 )
 
-// Exit codes of both binaries.
-const (
-	ExitOK      = 0
-	ExitFailed  = 1 // the command ran and its answer is no
-	ExitUsage   = 2 // flags or settings are wrong
-	ExitUnknown = 3 // the outcome cannot be known; ask before repeating
-)
-
-// ErrFailed marks a command that ran and whose answer is no.
-var ErrFailed = errors.New("failed")
-
 // errUsage marks wrong flags or settings.
 var errUsage = errors.New("usage")
 
-// errUnknown marks an outcome that cannot be known.
+// errFailed marks a command that ran and whose answer is no.
+var errFailed = errors.New("failed")
+
+// errUnknown marks an outcome that cannot be known; ask before repeating.
 var errUnknown = errors.New("outcome unknown")
 
 // env is what commands share.
@@ -48,6 +41,7 @@
 	Replay     replayCmd     `cmd:"" help:"Replay traces against the decisions and report whether their outcomes are met."`
 	Compare    compareCmd    `cmd:"" help:"Compare the ways of placing tasks on generated workloads."`
 	Capacity   capacityCmd   `cmd:"" help:"Measure what guards and tasks cost at an entry."`
+	Record     recordCmd     `cmd:"" help:"Read and amend records through an entry."`
 	Keys       keysCmd       `cmd:"" help:"Make a certificate authority and certificates for a fleet, or a member's token."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
@@ -55,35 +49,39 @@
 // Main runs the command line of the entry binary and returns its exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var c commands
-	parser, err := kong.New(&c,
-		kong.Name("wigeontray"),
-		kong.Description("A shared dispatcher for short urgent requests."),
-		kong.Writers(stdout, stderr),
-		kong.UsageOnError(),
-	)
+	k, err := parse(&c, "wigeontray", "A shared dispatcher for short urgent requests.", args, stdout, stderr)
+	if err != nil {
+		return exitCode("wigeontray", stderr, err)
+	}
+	return exitCode("wigeontray", stderr, k.Run(&env{ctx: ctx, stdout: stdout, stderr: stderr}))
+}
+
+// parse reads args by the grammar of a binary. A request for help prints it and
+// ends the process with code 0.
+func parse(grammar any, name, description string, args []string, stdout, stderr io.Writer) (*kong.Context, error) {
+	parser, err := kong.New(grammar, kong.Name(name), kong.Description(description), kong.Writers(stdout, stderr))
 	if err != nil {
-		panic(err) // the structure above is constant
+		panic(err) // grammars are constant
 	}
 	k, err := parser.Parse(args)
 	if err != nil {
-		fmt.Fprintf(stderr, "wigeontray: %v\n", err)
-		return ExitUsage
+		return nil, fmt.Errorf("%w: %w", errUsage, err)
 	}
-	return exitCode("wigeontray", stderr, k.Run(&env{ctx: ctx, stdout: stdout, stderr: stderr}))
+	return k, nil
 }
 
 func exitCode(name string, stderr io.Writer, err error) int {
 	if err == nil {
-		return ExitOK
+		return operator.ExitOK
 	}
 	fmt.Fprintf(stderr, "%s: %v\n", name, err)
 	switch {
 	case errors.Is(err, errUsage):
-		return ExitUsage
+		return operator.ExitUsage
 	case errors.Is(err, errUnknown):
-		return ExitUnknown
+		return operator.ExitUnknown
 	}
-	return ExitFailed
+	return operator.ExitCode(err)
 }
 
 type versionCmd struct{}
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -38,6 +38,9 @@
 	Store store.Store
 	// Registry takes the counters; nil is a registry of its own.
 	Registry metrics.Registry
+	// Sealer protects snapshots on their way through peers and guards; nil
+	// sends them in the clear to peers and not at all to guards.
+	Sealer *record.Sealer
 	// Logger takes lines on changes of state; nil is silent.
 	Logger *log.Logger
 	// BackoffMin and BackoffMax bound the pause after a failure of the store.
@@ -55,12 +58,25 @@
 	Latest(ctx context.Context, prefix string) (store.Latest, error)
 }
 
+// rotator is a store with several endpoints.
+type rotator interface{ NextEndpoint() }
+
+// storeState is what the last call of the store said of it.
+type storeState uint32
+
+const (
+	storeUntried storeState = iota
+	storeUp
+	storeDown
+)
+
 // Sync holds the configuration in force.
 type Sync struct {
 	o       Options
 	current atomic.Pointer[record.Snapshot]
 	ready   chan struct{} // closed once a snapshot was obtained
-	storeUp atomic.Bool
+	store   atomic.Uint32 // a storeState
+	shared  atomic.Pointer[shared]
 
 	mu          sync.Mutex // guards changes of current, and what follows
 	subscribers map[int]chan struct{}
@@ -105,7 +121,10 @@
 func (s *Sync) ReadyC() <-chan struct{} { return s.ready }
 
 // StoreUp tells whether the store answered last time.
-func (s *Sync) StoreUp() bool { return s.storeUp.Load() }
+func (s *Sync) StoreUp() bool { return storeState(s.store.Load()) == storeUp }
+
+// storeDown tells whether the store gave no answer last time.
+func (s *Sync) storeDown() bool { return storeState(s.store.Load()) == storeDown }
 
 // Revision gives the revision in force, 0 before Ready.
 func (s *Sync) Revision() int64 {
@@ -130,22 +149,6 @@
 	}
 }
 
-// Offer takes a snapshot that a peer or a guard holds, encoded by record. It
-// tells whether it is now in force.
-func (s *Sync) Offer(encoded []byte) (bool, error) {
-	snap, err := record.Decode(s.current.Load(), encoded)
-	if err != nil {
-		s.count("offers.malformed")
-		return false, err
-	}
-	if !s.install(snap) && !s.adopt(encoded) {
-		s.count("offers.old")
-		return false, nil
-	}
-	s.count("offers.taken")
-	return true, nil
-}
-
 // install puts snap in force if it is newer than what is.
 func (s *Sync) install(snap *record.Snapshot) bool {
 	s.mu.Lock()
@@ -225,20 +228,26 @@
 		s.count("watch.compacted")
 	case errors.Is(err, errStale):
 		s.count("watch.stale")
+		s.nextEndpoint()
 	case errors.Is(err, errPast):
-		s.count("store.past")
+		s.notePast()
 	default:
 		s.count("store.failed")
-		s.noteStore(false, err)
+		s.noteStore(err)
 	}
 }
 
-// noteStore logs the store's going and coming back, once each.
-func (s *Sync) noteStore(up bool, err error) {
-	if s.storeUp.Swap(up) == up {
+// noteStore notes how a call of the store went, and logs its going and coming
+// back, once each.
+func (s *Sync) noteStore(err error) {
+	now := storeUp
+	if err != nil {
+		now = storeDown
+	}
+	if before := storeState(s.store.Swap(uint32(now))); before == now {
 		return
 	}
-	if up {
+	if now == storeUp {
 		s.o.Logger.Info("store answers")
 		return
 	}
--- a/internal/pages/code_test.go
+++ b/internal/pages/code_test.go
@@ -1,7 +1,12 @@
 package pages
 
 import (
+	"go/ast"
+	"go/token"
+	"maps"
+	"path/filepath"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -9,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wigeontray/internal/errkind"
+	"wigeontray/internal/record"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 )
@@ -32,6 +38,28 @@
 	checkTable(qt.New(t), "docs/operators.md", "figures", render(header, rows))
 }
 
+func TestRecordKinds(t *testing.T) {
+	var names []string
+	for _, k := range record.Kinds() {
+		names = append(names, string(k))
+	}
+	checkNames(qt.New(t), "docs/operators.md", "record-kinds", names)
+}
+
+// Advice on an error kind that does not exist would send an operator looking
+// for a counter that is never there.
+func TestAdviceNamesErrorKinds(t *testing.T) {
+	c := qt.New(t)
+	_, body, _ := cut(c, "docs/operators.md", "what-to-do")
+	known := make(map[string]bool)
+	for _, k := range errkind.All() {
+		known[k.String()] = true
+	}
+	for _, name := range column(body) {
+		c.Check(known[name], qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
+
 func TestRetryReasons(t *testing.T) {
 	var names []string
 	for _, r := range telemetry.RetryReasons() {
@@ -107,3 +135,72 @@
 		return "integer"
 	}
 }
+
+// A figure that nothing counts stays at zero for ever, and an operator takes
+// its zero for good news.
+func TestEveryFigureIsCounted(t *testing.T) {
+	c := qt.New(t)
+	used := make(map[string]bool)
+	for _, dir := range packages(c) {
+		if dir == "internal/telemetry" {
+			continue
+		}
+		for _, f := range parseDir(c, dir) {
+			ast.Inspect(f, func(n ast.Node) bool {
+				if s, ok := n.(*ast.SelectorExpr); ok && isName(s.X, "telemetry") {
+					used[s.Sel.Name] = true
+				}
+				return true
+			})
+		}
+	}
+	byKind := used["RetryAfter"] // counts the reasons that follow from a kind
+	for _, name := range figureConstants(c) {
+		counted := used[name] || byKind && strings.HasPrefix(name, "Retry")
+		c.Check(counted, qt.IsTrue, qt.Commentf("telemetry.%s is never counted", name))
+	}
+}
+
+// packages lists the folders below internal that hold code.
+func packages(c *qt.C) []string {
+	seen := make(map[string]bool)
+	for _, name := range tree(c) {
+		if strings.HasPrefix(name, "internal/") && strings.HasSuffix(name, ".go") && !strings.HasSuffix(name, "_test.go") {
+			seen[filepath.Dir(name)] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// figureTypes are the types whose constants name figures.
+var figureTypes = []string{"Counter", "Gauge", "Latency", "RetryReason"}
+
+// figureConstants lists the exported constants of those types.
+func figureConstants(c *qt.C) []string {
+	var out []string
+	for _, f := range parseDir(c, "internal/telemetry") {
+		for _, d := range f.Decls {
+			if g, ok := d.(*ast.GenDecl); ok && g.Tok == token.CONST {
+				out = append(out, typedNames(g)...)
+			}
+		}
+	}
+	return out
+}
+
+// typedNames gives the exported names of a block that begins with a figure.
+func typedNames(g *ast.GenDecl) []string {
+	first := g.Specs[0].(*ast.ValueSpec)
+	if id, ok := first.Type.(*ast.Ident); !ok || !slices.Contains(figureTypes, id.Name) {
+		return nil
+	}
+	var out []string
+	for _, spec := range g.Specs {
+		for _, name := range spec.(*ast.ValueSpec).Names {
+			if name.IsExported() {
+				out = append(out, name.Name)
+			}
+		}
+	}
+	return out
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -22,12 +22,16 @@
 
 	Peers []string // inner addresses, used until the roster is known
 
-	Store     Store
-	TLS       TLS
-	Fleet     Fleet
-	Operators Operators
-	Limits    EntryLimits
-	Log       Log
+	Store  Store
+	Roster Roster
+	TLS    TLS
+	Fleet  Fleet
+	// ConfigKeyFile is the path of the file with the key under which snapshots
+	// of the configuration are sealed; empty for none.
+	ConfigKeyFile string
+	Operators     Operators
+	Limits        EntryLimits
+	Log           Log
 }
 
 // Store tells how the platform's store is reached.
@@ -38,6 +42,13 @@
 	VerifyEvery    time.Duration
 }
 
+// Roster tells how entries share plain identities.
+type Roster struct {
+	// Ceiling is how long plain identities are served without the store at most,
+	// and refused at most after the loss of all entries of the region at once.
+	Ceiling time.Duration
+}
+
 // Operators holds what lets the consortium's operators in before any record
 // exists.
 type Operators struct {
@@ -72,10 +83,13 @@
 		millis("store", "timeout_ms", 2000, 50, 60_000, "Time for one call of the store.", func(e *Entry) *time.Duration { return &e.Store.Timeout }),
 		integer("store", "calls_per_second", "calls/s", 50, 1, 2000, "Most calls of the store by this process. A call over it waits.", func(e *Entry) *int64 { return &e.Store.CallsPerSecond }),
 		millis("store", "verify_every_ms", 2000, 100, 60_000, "Time between checks that the watch of the store has left out no change.", func(e *Entry) *time.Duration { return &e.Store.VerifyEvery }),
+		millis("roster", "ceiling_ms", 3_600_000, 10_000, 86_400_000, "Time for which entries promise ahead in the store. Identities without a home are served that long in an outage of the store, and refused that long at most after all entries of the region were lost at once. A site with one entry sets a short one.", func(e *Entry) *time.Duration { return &e.Roster.Ceiling }),
 	},
 	tlsFields(func(e *Entry) *TLS { return &e.TLS }),
-	fleetFields(func(e *Entry) *Fleet { return &e.Fleet }),
+	fleetFields("File with the key that all entries share; at least 16 bytes. A link of an entry whose key differs is refused, and so is one of a guard whose member lists no guard key.",
+		func(e *Entry) *Fleet { return &e.Fleet }),
 	[]field[Entry]{
+		text("fleet", "config_key_file", "", "File with the key that all entries, and no guard, share; at least 16 bytes. With it guards keep the configuration, sealed, for entries that start while the store is down.", func(e *Entry) *string { return &e.ConfigKeyFile }),
 		hash("operators", "consortium_token_sha256", "SHA-256, in hexadecimal, of the token that may create, amend and delete member records.", func(e *Entry) *string { return &e.Operators.ConsortiumTokenSHA256 }),
 		integer("limits", "body_bytes", "bytes", 8*mib, kib, 64*mib, "Largest body of a submission.", func(e *Entry) *int64 { return &e.Limits.Body }),
 		headerTimeout(func(e *Entry) *time.Duration { return &e.Limits.HeaderTimeout }),
@@ -97,6 +111,9 @@
 	return out
 }
 
+// ConfigKey reads the key that seals snapshots; empty without a ConfigKeyFile.
+func (e *Entry) ConfigKey() (string, error) { return readKey("config_key_file", e.ConfigKeyFile) }
+
 // DefaultEntry gives the defaults; names and addresses are missing.
 func DefaultEntry() *Entry {
 	e := new(Entry)
