roster: any entry can stop as planned while the store is down

Cause: the first entry in order never resigned, so that not all do. Stopped during an outage it could not be taken off the roster either, and after five seconds every plain identity was refused until the store was back.

Ruled out: letting it resign when it has heard nobody else resign. Two that cross on the way would both do so.

Change: a leaving entry says so with its promise; one that is not leaving answers that it stays, which binds it until the next roster. The first in order resigns when somebody is bound. The test failed for entry-0 before and passes for each of three now; another stops every subset at once and finds somebody left.

--- a/internal/roster/exhaustive_test.go
+++ b/internal/roster/exhaustive_test.go
@@ -124,7 +124,7 @@
 		self: m.self, opt: m.opt, versions: slices.Clone(m.versions), revision: m.revision, stored: m.stored,
 		read: m.read, answered: m.answered, own: m.own, current: maps.Clone(m.current), later: maps.Clone(m.later),
 		swaps: m.swaps, joiners: maps.Clone(m.joiners), suspects: maps.Clone(m.suspects), gone: maps.Clone(m.gone),
-		leaving: m.leaving, fenced: m.fenced, nextPromise: m.nextPromise, nextRead: m.nextRead,
+		leaving: m.leaving, stays: m.stays, staying: maps.Clone(m.staying), fenced: m.fenced, nextPromise: m.nextPromise, nextRead: m.nextRead,
 		nextJoin: m.nextJoin, joinTurn: m.joinTurn, changeSince: m.changeSince,
 	}
 	if m.pending != nil {
@@ -141,7 +141,7 @@
 	fmt.Fprint(&s, w.now.Sub(epoch), w.dead, w.ahead, w.starter)
 	for _, m := range w.machines {
 		fmt.Fprint(&s, "|", m.revision, m.stored, m.own, m.current, m.later, m.joiners, m.suspects, m.gone,
-			m.fenced, m.leaving, m.nextPromise.Sub(epoch), m.nextRead.Sub(epoch), m.nextJoin.Sub(epoch), m.joinTurn,
+			m.fenced, m.leaving, m.stays, m.staying, m.nextPromise.Sub(epoch), m.nextRead.Sub(epoch), m.nextJoin.Sub(epoch), m.joinTurn,
 			m.changeSince.Sub(epoch), m.answered.Sub(epoch), len(m.versions))
 		if v, ok := m.last(); ok {
 			fmt.Fprint(&s, v.Version, v.FromMs, v.CeilingMs, len(v.Members), v.Gone)
--- a/internal/roster/machine.go
+++ b/internal/roster/machine.go
@@ -32,6 +32,8 @@
 	suspects map[identity.Incarnation]time.Time // since when
 	gone     map[identity.Incarnation]bool      // proved gone, not yet in a roster
 	leaving  bool
+	stays    bool                          // has said that it will not resign under the last version
+	staying  map[identity.Incarnation]bool // others that have said so
 	fenced   bool
 
 	nextPromise time.Time
@@ -64,6 +66,7 @@
 		joiners:  make(map[identity.Incarnation]wire.EntryAddr),
 		suspects: make(map[identity.Incarnation]time.Time),
 		gone:     make(map[identity.Incarnation]bool),
+		staying:  make(map[identity.Incarnation]bool),
 	}
 	m.publish()
 	return m
@@ -160,7 +163,8 @@
 	}
 	floor := now.Add(-m.opt.Retention).UnixMilli()
 	m.versions = slices.Clone(trimmed(append(slices.Clone(m.versions), v), floor))
-	m.own = 0
+	m.own, m.stays = 0, false
+	clear(m.staying)
 	clear(m.current)
 	for inc, p := range m.later {
 		if p.Version == v.Version {
@@ -194,6 +198,7 @@
 		m.announceAfter(from, p.Version)
 	default:
 		m.current[from] = max(m.current[from], p.UntilMs)
+		m.hearLeaving(from, p)
 	}
 	m.Tick(now)
 }
--- a/internal/roster/machine_test.go
+++ b/internal/roster/machine_test.go
@@ -318,15 +318,45 @@
 
 // An operator stops one entry while the store is down. It cannot be taken off
 // the roster, but its resignation lets the others go on promising without it.
+// That must hold for any of them, also the first in order.
 func TestPlannedStopDuringStoreOutage(t *testing.T) {
-	b := threeEntries(t)
-	b.storeOff = true
-	b.machines["entry-2"].Leave(b.now)
-	b.run(2 * time.Second)
-	b.down["entry-2"] = true
-	b.run(time.Minute)
-	got := b.owners(b.now, 300)
-	b.c.Assert(got["entry-0"]+got["entry-1"] > 150, qt.IsTrue)
+	for _, leaver := range []identity.Incarnation{"entry-0", "entry-1", "entry-2"} {
+		b := threeEntries(t)
+		b.storeOff = true
+		b.machines[leaver].Leave(b.now)
+		b.run(3 * time.Second)
+		b.down[leaver] = true
+		b.run(time.Minute)
+		got := b.owners(b.now, 300)
+		delete(got, leaver)
+		b.c.Check(total(got) > 150, qt.IsTrue, qt.Commentf("%s", leaver))
+	}
+}
+
+// All entries are stopped at about the same moment, and each hears late that the
+// others leave. One of them at least must not resign, or nobody could write the
+// closing roster.
+func TestNotAllResign(t *testing.T) {
+	for mask := range 8 {
+		b := threeEntries(t)
+		b.storeOff = true
+		for round := range 2 {
+			for i, inc := range b.order {
+				if mask>>i&1 == round {
+					b.machines[inc].Leave(b.now)
+				}
+			}
+			b.run(time.Second)
+		}
+		b.run(5 * time.Second)
+		resignations := 0
+		for _, inc := range b.order {
+			if b.machines[inc].own == resigned {
+				resignations++
+			}
+		}
+		b.c.Check(resignations < len(b.order), qt.IsTrue, qt.Commentf("mask %03b", mask))
+	}
 }
 
 // An entry is paused past its lease and wakes. The others have declared it gone.
--- a/internal/roster/promise.go
+++ b/internal/roster/promise.go
@@ -21,7 +21,22 @@
 	}
 	m.own = max(m.own, until)
 	m.current[m.self.Incarnation] = m.own
-	m.actions = append(m.actions, Action{Broadcast: &wire.Promise{Version: last.Version, UntilMs: m.own}})
+	m.actions = append(m.actions, Action{Broadcast: &wire.Promise{
+		Version: last.Version, UntilMs: m.own, Leaving: m.leaving, Stays: m.stays,
+	}})
+}
+
+// hearLeaving answers an entry that would resign by promising to stay, and notes
+// who has promised so.
+func (m *Machine) hearLeaving(from identity.Incarnation, p wire.Promise) {
+	if p.Stays && !m.staying[from] {
+		m.staying[from] = true
+		m.nextPromise = time.Time{}
+	}
+	if p.Leaving && !m.leaving && !m.stays {
+		m.stays = true
+		m.nextPromise = time.Time{}
+	}
 }
 
 // allowed is how far this entry may promise: beyond the ceiling an outsider may
@@ -35,16 +50,20 @@
 }
 
 // mayResign tells whether this entry can promise never to append again: it is
-// leaving, nothing of its own is unsettled, and another member is there to
-// append. The first member in order never resigns: if all stopped at once and
-// all resigned, nobody could write the last roster, and the next entries would
-// refuse plain identities up to the ceiling.
+// leaving, nothing of its own is unsettled, and another entry of the roster will
+// not resign. If all stopped at once and all resigned, nobody could write the
+// last roster, and the next entries would refuse plain identities up to the
+// ceiling. So the first in order does not resign, unless another one has said
+// that it stays; and one that has said so does not.
 func (m *Machine) mayResign(last Version) bool {
-	if !m.leaving || m.pending != nil && m.pending.capMs != noCap {
+	if !m.leaving || m.stays || m.pending != nil && m.pending.capMs != noCap {
 		return false
 	}
-	first := m.reachable(last.Members)
-	return len(first) > 0 && first[0] != m.self.Incarnation
+	others := m.reachable(last.Members)
+	if len(others) > 0 && others[0] != m.self.Incarnation {
+		return true
+	}
+	return slices.ContainsFunc(others, func(inc identity.Incarnation) bool { return m.staying[inc] })
 }
 
 // horizon is the least of the members' promises and the ceiling.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -243,6 +243,8 @@
 type Promise struct {
 	Version int64 `cbor:"1,keyasint"`
 	UntilMs int64 `cbor:"2,keyasint"`
+	Leaving bool  `cbor:"3,keyasint,omitempty"` // the sender stops and would resign
+	Stays   bool  `cbor:"4,keyasint,omitempty"` // the sender will not resign under Version
 }
 
 // Roster is one version of the list of entries that own plain identities.
