--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -95,6 +95,35 @@
 
 func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
 
+// Jobs of BenchmarkGuardFull: enough tasks to fill what a guard remembers.
+const (
+	fullJobs  = 200
+	fullTasks = 100
+)
+
+// BenchmarkGuardFull reports the resident memory of a guard that remembers as
+// many starts and holds as many results as it may, and what a task costs it.
+func BenchmarkGuardFull(b *testing.B) {
+	s := newSite(b)
+	upstream := httptest.NewServer(http.HandlerFunc(echo))
+	defer upstream.Close()
+	guard, _ := s.guard(b, upstream.URL)
+	client := &http.Client{}
+	tasks := strings.Repeat(task+",", fullTasks-1) + task
+	for b.Loop() {
+		entry0, guard0 := s.entry.cpu(b), guard.cpu(b)
+		for range fullJobs {
+			if err := post(client, s.job(b, tasks)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		each := func(d time.Duration) float64 { return micros(d) / (fullJobs * fullTasks) }
+		b.ReportMetric(each(s.entry.cpu(b)-entry0), "entry-cpu-us/task")
+		b.ReportMetric(each(guard.cpu(b)-guard0), "guard-cpu-us/task")
+		b.ReportMetric(guard.resident(b)/1e6, "guard-RSS-MB")
+	}
+}
+
 // BenchmarkCapacity prints the report of package capacity for an entry in a
 // process of its own, so that its figures are the entry's alone.
 func BenchmarkCapacity(b *testing.B) {
