e2e: a fleet over TLS; failed handshakes are counted

Cause: no test ran the two binaries with [tls]. net/http writes a line for each failed handshake, so that anybody who reaches a port could fill the log.

Failed handshakes are counted as wigeontray_tls_handshakes_failed_total and no longer logged; other lines of net/http, such as panics, still are.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -26,6 +28,7 @@
 	"wigeontray/internal/sample"
 	"wigeontray/internal/store"
 	"wigeontray/internal/store/standin"
+	"wigeontray/internal/tlsconf"
 )
 
 // patience bounds every wait for real processes. It is far above what a wait
@@ -94,6 +97,7 @@
 	kvURL     string
 	fleetKey  string // path of the entries' key; empty for none
 	member    int64  // revision of ayni's record
+	keys      string // folder of the fleet's certificates; empty for no TLS
 	entries   map[string]*entryProcess
 	upstreams map[string]*sample.Upstream
 }
@@ -101,6 +105,7 @@
 type entryProcess struct {
 	*process
 	callers, inner, admin string // host:port
+	roots                 *x509.CertPool
 }
 
 // readAddresses finds in the log which ports the entry was given.
@@ -115,7 +120,12 @@
 	return false
 }
 
-func (e *entryProcess) url() string { return "http://" + e.callers }
+func (e *entryProcess) url() string {
+	if e.roots != nil {
+		return "https://" + e.callers
+	}
+	return "http://" + e.callers
+}
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{
@@ -147,6 +157,37 @@
 	f.member = f.put(record.KindMember, "ayni", `{"kind":"member","name":"ayni","schema":1,`+fields+`}`, f.member)
 }
 
+// certify makes an authority and certificates in a new folder by the operators'
+// command.
+func (f *fleet) certify(name string) string {
+	dir := filepath.Join(f.dir, name)
+	out, err := exec.Command(filepath.Join(binaries, "wigeontray"), "keys", "fleet", dir, "127.0.0.1").CombinedOutput()
+	f.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	return dir
+}
+
+// tls gives the settings of section tls, none without certificates. The
+// authority is the fleet's, whatever the certificate.
+func (f *fleet) tls(certs, cert, key string) string {
+	if certs == "" {
+		return ""
+	}
+	return fmt.Sprintf("cert = %s\nkey = %s\nclient_ca = %s", filepath.Join(certs, cert), filepath.Join(certs, key),
+		filepath.Join(f.keys, tlsconf.AuthorityCert))
+}
+
+// roots is the authority that callers trust; nil without TLS.
+func (f *fleet) roots() *x509.CertPool {
+	if f.keys == "" {
+		return nil
+	}
+	pem, err := os.ReadFile(filepath.Join(f.keys, tlsconf.AuthorityCert))
+	f.Assert(err, qt.IsNil)
+	pool := x509.NewCertPool()
+	f.Assert(pool.AppendCertsFromPEM(pem), qt.IsTrue)
+	return pool
+}
+
 func (f *fleet) start(binary string, args ...string) *process {
 	p := &process{cmd: exec.Command(filepath.Join(binaries, binary), args...), log: new(syncBuffer)}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
@@ -186,10 +227,12 @@
 endpoints = %s
 [fleet]
 key_file = %s
+[tls]
+%s
 [log]
 format = json
-`, name, strings.Join(peers, ","), f.kvURL, f.fleetKey)
-	e := &entryProcess{process: f.start("wigeontray", "serve", "--config", f.file(name+".ini", ini))}
+`, name, strings.Join(peers, ","), f.kvURL, f.fleetKey, f.tls(f.keys, tlsconf.EntryCert, tlsconf.EntryKey))
+	e := &entryProcess{process: f.start("wigeontray", "serve", "--config", f.file(name+".ini", ini)), roots: f.roots()}
 	f.eventually("entry "+name+" tells its addresses", e.readAddresses)
 	f.entries[name] = e
 	f.eventually("entry "+name+" is ready", func() bool { return f.status(e, "/readyz") == http.StatusOK })
@@ -228,7 +271,7 @@
 }
 
 func (f *fleet) guard(name, upstream string) *process {
-	p := f.guardWith(name, upstream, f.fleetKey)
+	p := f.guardWith(name, upstream, f.fleetKey, f.keys)
 	for id, e := range f.entries {
 		f.eventually("guard "+name+" is used by "+id, func() bool { return f.lists(e, name) })
 	}
@@ -240,8 +283,9 @@
 	return strings.Contains(f.get(e, "/v1/status"), `"`+guard+`-`)
 }
 
-// guardWith starts a guard with the key in a file, and does not wait for it.
-func (f *fleet) guardWith(name, upstream, keyFile string) *process {
+// guardWith starts a guard with the key in a file and the certificate in a
+// folder, and does not wait for it.
+func (f *fleet) guardWith(name, upstream, keyFile, certs string) *process {
 	var entries []string
 	for _, e := range f.entries {
 		entries = append(entries, e.inner)
@@ -260,7 +304,9 @@
 admin = 127.0.0.1:0
 [fleet]
 key_file = %s
-`, name, strings.Join(entries, ","), upstream, keyFile)
+[tls]
+%s
+`, name, strings.Join(entries, ","), upstream, keyFile, f.tls(certs, tlsconf.GuardCert, tlsconf.GuardKey))
 	return f.start("wigeontray-guard", "--config", f.file(name+".ini", ini))
 }
 
@@ -290,6 +336,12 @@
 	return b.String()
 }
 
+// counted tells whether a counter of an entry has risen.
+func (f *fleet) counted(e *entryProcess, counter string) bool {
+	figures := f.get(e, "/metrics")
+	return strings.Contains(figures, "\n"+counter+" ") && !strings.Contains(figures, "\n"+counter+" 0\n")
+}
+
 func (f *fleet) status(e *entryProcess, path string) int {
 	resp, err := http.Get("http://" + e.admin + path)
 	if err != nil {
@@ -300,7 +352,8 @@
 }
 
 func caller(entries ...*entryProcess) *client.Client {
-	c := &client.Client{Token: token, HTTP: &http.Client{Transport: &http.Transport{}}}
+	conf := &tls.Config{RootCAs: entries[0].roots}
+	c := &client.Client{Token: token, HTTP: &http.Client{Transport: &http.Transport{TLSClientConfig: conf}}}
 	for _, e := range entries {
 		c.Entries = append(c.Entries, e.url())
 	}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -2,13 +2,18 @@
 package httpserve
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +34,7 @@
 type Server struct {
 	listener net.Listener
 	http     *http.Server
+	errors   *errorLog
 }
 
 // Listen opens addr (host:port; port 0 picks one) and returns a server for h.
@@ -44,8 +50,10 @@
 	if tlsConfig != nil {
 		ln = tls.NewListener(ln, tlsConfig)
 	}
-	return &Server{listener: ln, http: &http.Server{
+	errors := &errorLog{rest: os.Stderr}
+	return &Server{listener: ln, errors: errors, http: &http.Server{
 		Handler:           h,
+		ErrorLog:          log.New(errors, "", log.LstdFlags),
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.HeaderBytes,
@@ -55,6 +63,9 @@
 // Addr is the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
+// HandshakesFailed counts connections that ended in their TLS handshake.
+func (s *Server) HandshakesFailed() int64 { return s.errors.handshakes.Load() }
+
 // Serve runs until Stop and returns nil after it.
 func (s *Server) Serve() error {
 	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -110,3 +121,20 @@
 	c.once.Do(c.release)
 	return err
 }
+
+// errorLog takes the lines that net/http writes. Failed handshakes are counted:
+// anybody who reaches the port can cause them, and a line for each would bury
+// the log. What remains, above all panics, is written.
+type errorLog struct {
+	handshakes atomic.Int64
+	rest       io.Writer
+}
+
+// Write implements io.Writer; each call is one line.
+func (l *errorLog) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("TLS handshake error")) {
+		l.handshakes.Add(1)
+		return len(line), nil
+	}
+	return l.rest.Write(line)
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -125,6 +125,9 @@
 	if e.callers, err = httpserve.Listen(e.set.Callers, e.server.Handler(), callersTLS, e.callerLimits()); err != nil {
 		return err
 	}
+	e.metrics.ReadCounter(telemetry.HandshakesFailed, func() int64 {
+		return e.inner.HandshakesFailed() + e.callers.HandshakesFailed()
+	})
 	e.admin, err = httpserve.Listen(e.set.Admin, e.server.AdminHandler(), nil, httpserve.DefaultLimits())
 	return err
 }
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -23,6 +23,7 @@
 	LinksLost
 	LinksRefused
 	LinksRevoked
+	HandshakesFailed
 	FramesOut
 	FramesIn
 	BytesOut
@@ -120,6 +121,7 @@
 	LinksLost:            {Name: "wigeontray_links_lost_total", Help: "Links that ended for any reason."},
 	LinksRefused:         {Name: "wigeontray_links_refused_total", Help: "Links that ended at their first frame: a wrong key, a version too far away or claims beyond the limits."},
 	LinksRevoked:         {Name: "wigeontray_links_revoked_total", Help: "Links of guards that were closed because their member's record no longer lists their key."},
+	HandshakesFailed:     {Name: "wigeontray_tls_handshakes_failed_total", Help: "Connections that ended in their TLS handshake, such as those with a certificate of another authority."},
 	FramesOut:            {Name: "wigeontray_frames_out_total", Help: "Frames sent on links."},
 	FramesIn:             {Name: "wigeontray_frames_in_total", Help: "Frames received on links."},
 	BytesOut:             {Name: "wigeontray_bytes_out_total", Help: "Payload bytes sent on links."},
