--- /dev/null
+++ b/internal/pages/links_test.go
@@ -0,0 +1,52 @@
+package pages
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var link = regexp.MustCompile(`\]\(([^)\s]+)\)`)
+
+func TestLinksLeadSomewhere(t *testing.T) {
+	c := qt.New(t)
+	for _, page := range pageFiles(c) {
+		for _, m := range link.FindAllStringSubmatch(readPage(c, page), -1) {
+			if strings.Contains(m[1], "://") {
+				continue
+			}
+			file, anchor, _ := strings.Cut(m[1], "#")
+			target := page
+			if file != "" {
+				target = filepath.Join(filepath.Dir(page), file)
+			}
+			_, err := os.Stat(filepath.Join(root, target))
+			c.Check(err, qt.IsNil, qt.Commentf("%s: %s", page, m[1]))
+			if err == nil && anchor != "" {
+				c.Check(hasHeading(readPage(c, target), anchor), qt.IsTrue, qt.Commentf("%s: no heading %s", page, m[1]))
+			}
+		}
+	}
+}
+
+var notInAnchor = regexp.MustCompile(`[^a-z0-9 -]`)
+
+// hasHeading tells whether a page has a heading with the anchor, by the rule of
+// the usual renderers: lower case, no punctuation, hyphens for spaces.
+func hasHeading(page, anchor string) bool {
+	for _, line := range strings.Split(page, "\n") {
+		text, ok := strings.CutPrefix(strings.TrimLeft(line, "#"), " ")
+		if !ok || !strings.HasPrefix(line, "#") {
+			continue
+		}
+		slug := strings.ReplaceAll(notInAnchor.ReplaceAllString(strings.ToLower(text), ""), " ", "-")
+		if slug == anchor {
+			return true
+		}
+	}
+	return false
+}
