--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -139,6 +139,7 @@
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.readFigures()
 	go s.config.Watch(s.ctx, s.configChanged)
+	go s.followEntries(s.ctx)
 	return s
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -338,3 +338,21 @@
 		b.Assert((<-answer).Code, qt.Equals, http.StatusOK)
 	})
 }
+
+// All entries are replaced one by one over a day. A guard that was never told of
+// the new ones would in the end be linked to none of the living, and its worker
+// would stand idle.
+func TestGuardsAreToldOfEntriesThatJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		g := b.guard("guard-1", 8)
+		time.Sleep(3 * entriesEvery)
+		b.silent(g)
+		b.router.more.Store(&wire.EntryAddr{Incarnation: "entry-b-1", Inner: "127.0.0.1:2"})
+		w := b.next(g).Welcome
+		b.Assert(w, qt.IsNotNil)
+		b.Assert(w.Entries, qt.HasLen, 2)
+		time.Sleep(3 * entriesEvery)
+		b.silent(g)
+	})
+}
--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -155,14 +155,7 @@
 	if s.verdict(g) == rejected {
 		return nil, fmt.Errorf("guard %s of %s: %w", h.Incarnation, h.Service, errWrongKey)
 	}
-	welcome := &wire.Welcome{
-		Version:     min(wire.Version, h.Version),
-		Incarnation: s.id,
-		Revision:    s.config.Revision(),
-		Entries:     s.router.Entries(),
-		Software:    s.opts.Software,
-	}
-	if err := link.Send(&wire.Frame{Welcome: welcome}); err != nil {
+	if err := link.Send(&wire.Frame{Welcome: s.welcome(min(wire.Version, h.Version))}); err != nil {
 		return nil, fmt.Errorf("send welcome: %w", err)
 	}
 	return g, nil
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,7 +59,8 @@
 	id    identity.Incarnation
 	ready func(identity.Incarnation)
 	known map[identity.Incarnation]bool
-	hold  chan struct{} // delays readiness until it is closed, if set
+	more  atomic.Pointer[wire.EntryAddr] // another entry, if set
+	hold  chan struct{}                  // delays readiness until it is closed, if set
 }
 
 func (r *soleRouter) MayStart(string, identity.Key) *errkind.Error { return nil }
@@ -90,7 +92,13 @@
 func (r *soleRouter) Recover(context.Context, identity.Incarnation, string, identity.Key) *Recovered {
 	return &Recovered{Err: errkind.New(errkind.OutcomeUnknown, "the home is gone")}
 }
-func (r *soleRouter) Entries() []wire.EntryAddr                   { return nil }
+func (r *soleRouter) Entries() []wire.EntryAddr {
+	list := []wire.EntryAddr{{Incarnation: r.id, Inner: "127.0.0.1:1"}}
+	if more := r.more.Load(); more != nil {
+		list = append(list, *more)
+	}
+	return list
+}
 func (r *soleRouter) FromGuard(identity.Incarnation, *wire.Frame) {}
 
 // bench is one entry with guards that the test plays.
