--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
+	"wigeontray/internal/meter"
 	"wigeontray/internal/record"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
@@ -175,7 +176,7 @@
 	if l, ok := s.lanes.Load(service); ok {
 		return l.(*lane)
 	}
-	l := newLane(service, s.id, dispatch.New(service, s.policy(service), s.opts.Seed), s.finish)
+	l := newLane(service, s.id, meter.Wrap(dispatch.New(service, s.policy(service), s.opts.Seed), s.metrics), s.finish)
 	s.lanes.Store(service, l)
 	return l
 }
