e2e: an entry counts as frozen once all of its threads are stopped

Cause: TestEntryFrozenPastItsLease failed twice on a busy machine (load above 40) with a complete answer: the booking that was meant to wait in the socket had been served. SIGSTOP is delivered to one thread, and until that one runs the others go on, so the entry took the request after the signal was sent.

Ruled out: a fault of the system. The log shows one start, whose result the other entry collected, as it should.

Change: the test waits until every thread is in state T before it submits. What it demands is unchanged.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -75,6 +75,7 @@
 	f.settled()
 	key := f.ticket(a)
 	a.signal(syscall.SIGSTOP)
+	f.eventually("the entry is frozen", a.stopped)
 	late := f.submitted(caller(a, b), key, job(10, 1))
 	answer := <-f.submitted(caller(b), key, job(10, 1))
 	f.Assert(answer.Parsed.Error, qt.IsNotNil, qt.Commentf("%s", answer.Body))
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -63,6 +63,23 @@
 
 func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
 
+// stopped tells whether every thread of the process has been stopped. A signal
+// reaches one thread first, and on a busy machine the others run on meanwhile.
+func (p *process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, file := range threads {
+		b, err := os.ReadFile(file)
+		_, state, found := strings.Cut(string(b), ") ") // after the name in brackets
+		if err != nil || !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // kill ends the process at once, also when it is stopped, and waits for it.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
