entry, httpserve: hostile callers get true answers of the closed list, in time

Cause, found by reading and by tests: a resubmission with a spoilt body or an old token was told that its identity never ran and never will, though it may have run. A deadline of 9.2e18 ms wrapped and the job expired at once. Names of megabytes came back in refusals, which are held, so that one member could push another's answers out of memory. Bodies had no time limit. Paths and methods that nothing serves got net/http's plain text. Idle connections of one caller could fill the limit for the idle time. "respond-async, wait=10" did not wait.

Ruled out: net/http's ReadTimeout, which also ends the wait for a job's answer; it is a deadline on the connection that the body's end lifts. Refusing two kinds of Prefer: RFC 7240 has unknown and malformed ones passed over.

Change: refusals that leave no record claim nothing about starts; times are compared in milliseconds; names and details are bounded; [limits] body_timeout_ms; httpserve.Unmatched and the kind method_not_allowed; above three quarters of the connections each is closed after its answer; two Idempotency-Key fields are refused; 401 carries WWW-Authenticate. Token comparison is over all hashes in constant time already, and stays.

Not bounded: the time in which a caller reads its answer.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"wigeontray/internal/dispatch"
@@ -56,11 +57,22 @@
 func newErrorBody(e *errkind.Error) *errorBody {
 	row := e.Kind.Answer()
 	return &errorBody{
-		Kind: row.Name, Message: row.Text, Detail: e.Detail,
+		Kind: row.Name, Message: row.Text, Detail: clip(e.Detail),
 		Ran: e.Ran.String(), Advice: row.Advice.String(), AfterMs: e.After.Milliseconds(),
 	}
 }
 
+// maxDetail bounds the detail of an answer, in bytes. Some repeat what the caller
+// sent, which would come back in full and be held for resubmissions.
+const maxDetail = 1 << 10
+
+func clip(detail string) string {
+	if len(detail) <= maxDetail {
+		return detail
+	}
+	return strings.ToValidUTF8(detail[:maxDetail], "") + "..."
+}
+
 // outcomeAnswer renders the final answer of a job.
 func outcomeAnswer(key string, o *dispatch.Outcome) *jobs.Answer {
 	if o.Err != nil {
@@ -83,7 +95,7 @@
 func failedAnswer(key string, e *errkind.Error, failures []dispatch.TaskFailure) *jobs.Answer {
 	body := jobBody{Job: key, State: stateFailed, Error: newErrorBody(e)}
 	for _, f := range failures {
-		body.Failures = append(body.Failures, failureBody{Task: f.Task, Kind: f.Kind.String(), Ran: f.Ran.String(), Detail: f.Detail})
+		body.Failures = append(body.Failures, failureBody{Task: f.Task, Kind: f.Kind.String(), Ran: f.Ran.String(), Detail: clip(f.Detail)})
 	}
 	return &jobs.Answer{Kind: e.Kind, Ran: e.Ran, Body: marshal(body), After: e.After}
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeontray/internal/errkind"
+	"wigeontray/internal/httpserve"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/wire"
 )
@@ -29,9 +30,20 @@
 		mux.Handle("/v1/records", s.opts.Records)
 		mux.Handle("/v1/records/", s.opts.Records)
 	}
-	return mux
+	return httpserve.Unmatched(mux, s.refuseUnmatched)
 }
 
+// refuseUnmatched answers for a path or method that nothing serves.
+func (s *Server) refuseUnmatched(w http.ResponseWriter, err *errkind.Error) {
+	w.Header().Set(headerHome, string(s.id))
+	s.refuse(w, "", err)
+}
+
+// unrecorded takes back a kind's claim that the identity never ran. Nothing is
+// recorded of a request that is refused this early: the identity may have run
+// before, or run when it is sent again without the fault.
+func unrecorded(err *errkind.Error) *errkind.Error { return err.WithRan(errkind.RanUnknown) }
+
 // member wraps a handler with authentication.
 func (s *Server) member(next func(w http.ResponseWriter, r *http.Request, member string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -40,7 +52,7 @@
 		w.Header().Set(headerHome, string(s.id))
 		name, err := s.Authenticate(r)
 		if err != nil {
-			s.refuse(w, "", err)
+			s.refuse(w, "", unrecorded(err))
 			return
 		}
 		if err := s.config.CheckRegion(name); err != nil {
@@ -71,24 +83,41 @@
 
 func (s *Server) refuse(w http.ResponseWriter, key string, err *errkind.Error) {
 	s.metrics.Refused(err.Kind)
+	if err.Kind == errkind.Unauthenticated {
+		w.Header().Set("WWW-Authenticate", "Bearer") // RFC 9110 demands it with 401
+	}
 	writeError(w, key, err)
 }
 
 func (s *Server) postJob(w http.ResponseWriter, r *http.Request, member string) {
-	key, err := identity.Parse(r.Header.Get(headerKey))
-	if err != nil {
-		s.refuse(w, "", errkind.New(errkind.BadRequest, "%s: %w", headerKey, err))
+	key, refusal := headerIdentity(r)
+	if refusal != nil {
+		s.refuse(w, "", refusal)
 		return
 	}
 	body, refusal := readBody(w, r, s.opts.MaxBody)
 	if refusal != nil {
-		s.refuse(w, key.Text, refusal)
+		s.refuse(w, key.Text, unrecorded(refusal))
 		return
 	}
 	w.Header().Set("Location", "/v1/jobs/"+key.Text)
 	s.answer(w, r, &request{op: wire.OpSubmit, member: member, key: key, wait: preference(r), body: body})
 }
 
+// headerIdentity reads the identity of a submission. Two of them are refused:
+// callers and what stands between could disagree about which one counts.
+func headerIdentity(r *http.Request) (identity.Key, *errkind.Error) {
+	values := r.Header.Values(headerKey)
+	if len(values) != 1 {
+		return identity.Key{}, errkind.New(errkind.BadRequest, "want one %s, not %d", headerKey, len(values))
+	}
+	key, err := identity.Parse(values[0])
+	if err != nil {
+		return identity.Key{}, errkind.New(errkind.BadRequest, "%s: %w", headerKey, err)
+	}
+	return key, nil
+}
+
 func (s *Server) getJob(w http.ResponseWriter, r *http.Request, member string) {
 	s.answerKeyed(w, r, member, wire.OpFetch)
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -104,14 +104,14 @@
 // bench is one entry with guards that the test plays.
 type bench struct {
 	*qt.C
-	t       *testing.T
+	t       testing.TB
 	s       *Server
 	router  *soleRouter
 	config  *fixedConfig
 	handler http.Handler
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t testing.TB) *bench {
 	const id = "entry-a-000001"
 	router := &soleRouter{id: id, known: make(map[identity.Incarnation]bool)}
 	config := &fixedConfig{revision: 7}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -127,13 +127,19 @@
 	}
 	sub, err := parseSubmission(q.body)
 	if err != nil {
-		return 0, err
+		return 0, unrecorded(err)
 	}
-	bound := s.opts.MaxDeadline
-	if sub.DeadlineMs > 0 {
-		bound = min(bound, time.Duration(sub.DeadlineMs)*time.Millisecond)
+	return s.deadline(sub, s.opts.MaxDeadline) + forwardMargin, nil
+}
+
+// deadline is the time that a submission leaves for its answer. It is compared
+// in milliseconds, as a great number of them does not fit a Duration: the sum
+// would wrap and the job would seem to have expired long ago.
+func (s *Server) deadline(sub *submission, standard time.Duration) time.Duration {
+	if sub.DeadlineMs == 0 {
+		return standard
 	}
-	return bound + forwardMargin, nil
+	return time.Duration(min(sub.DeadlineMs, s.opts.MaxDeadline.Milliseconds())) * time.Millisecond
 }
 
 // recover answers for an owner that did not.
@@ -187,7 +193,8 @@
 func (s *Server) submit(ctx context.Context, q *request) reply {
 	sub, err := parseSubmission(q.body)
 	if err != nil {
-		return errorReply(q.key.Text, err)
+		s.metrics.Refused(err.Kind)
+		return errorReply(q.key.Text, unrecorded(err))
 	}
 	// A refusal here can be lifted later, so it leaves no record. A job that has
 	// a record was allowed before, and for good.
@@ -239,18 +246,14 @@
 	if len(sub.Tasks) > limits.MaxTasks {
 		return "", nil, errkind.New(errkind.TooManyTasks, "%d tasks, at most %d", len(sub.Tasks), limits.MaxTasks)
 	}
-	deadline := limits.Deadline
-	if sub.DeadlineMs > 0 {
-		deadline = min(time.Duration(sub.DeadlineMs)*time.Millisecond, s.opts.MaxDeadline)
-	}
-	declared := sub.DeclaredMs
+	declared := min(sub.DeclaredMs, maxDeclaredMs)
 	if declared == 0 {
 		declared = limits.DeclaredMs
 	}
 	return service, &dispatch.Spec{
 		ID:         dispatch.JobID{Member: q.member, Key: q.key.Text},
 		Team:       sub.Team,
-		Deadline:   time.Now().Add(deadline),
+		Deadline:   time.Now().Add(s.deadline(sub, limits.Deadline)),
 		Tasks:      sub.bodies(),
 		DeclaredMs: declared,
 	}, nil
--- a/internal/entry/submission.go
+++ b/internal/entry/submission.go
@@ -19,6 +19,12 @@
 // MaxTasks is the greatest number of tasks in a job (letter 1).
 const MaxTasks = 500
 
+// Bounds on fields of a submission.
+const (
+	maxNameLen    = 128       // bytes of a name; records' names are shorter
+	maxDeclaredMs = 3_600_000 // as in records; a longer estimate counts as this
+)
+
 // submission is the body of POST /v1/jobs.
 type submission struct {
 	// Service is the member's service; Job, in its place, a declared kind of job.
@@ -43,6 +49,10 @@
 		return nil, errkind.New(errkind.BadRequest, "body: more than one value")
 	}
 	switch {
+	case max(len(s.Service), len(s.Job), len(s.Team)) > maxNameLen:
+		// Refusals repeat the name and are held for resubmissions: names of
+		// megabytes would push other members' answers out of memory.
+		return nil, errkind.New(errkind.BadRequest, "a name is longer than %d bytes", maxNameLen)
 	case (s.Service == "") == (s.Job == ""):
 		return nil, errkind.New(errkind.BadRequest, "want either service or job")
 	case len(s.Tasks) == 0:
@@ -95,22 +105,41 @@
 	return b, nil
 }
 
+// waitForever stands for no bound; jobs have deadlines of their own.
+const waitForever = time.Hour
+
 // preference reads the Prefer header (RFC 7240): how long the caller wants to
-// wait for the answer. Without one it waits until the job is finished.
+// wait for the answer. Without one it waits until the job is finished. With both
+// preferences it waits for the time given, and is then told that the job runs.
 func preference(r *http.Request) time.Duration {
-	const forever = time.Hour
+	wait := waitForever
 	for _, field := range r.Header.Values("Prefer") {
 		for _, p := range strings.Split(field, ",") {
+			p, _, _ = strings.Cut(p, ";") // parameters of a preference
 			name, value, _ := strings.Cut(strings.TrimSpace(p), "=")
 			switch strings.ToLower(strings.TrimSpace(name)) {
 			case "respond-async":
-				return 0
+				wait = 0
 			case "wait":
-				if s, err := strconv.ParseUint(strings.TrimSpace(value), 10, 12); err == nil {
-					return time.Duration(s) * time.Second
+				if d, ok := parseWait(value); ok {
+					return d
 				}
 			}
 		}
 	}
-	return forever
+	return wait
+}
+
+// parseWait reads the seconds of a wait. What is no number is passed over, as
+// the RFC wants; more than the greatest one means no bound.
+func parseWait(value string) (time.Duration, bool) {
+	const bits = 12 // up to 4095 s
+	s, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(value), `"`), 10, bits)
+	switch {
+	case errors.Is(err, strconv.ErrRange):
+		return waitForever, true
+	case err != nil:
+		return 0, false
+	}
+	return time.Duration(s) * time.Second, true
 }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -49,6 +49,7 @@
 	Overloaded
 	Internal
 	TooManyJobs
+	MethodNotAllowed
 	kindCount
 )
 
@@ -125,6 +126,7 @@
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, RanNo, AdviceNewIdentity, "this process is at its limit"},
 	Internal:           {"internal", http.StatusInternalServerError, RanUnknown, AdviceAsk, "an internal error"},
 	TooManyJobs:        {"too_many_jobs", http.StatusServiceUnavailable, RanUnknown, AdviceSame, "the member has too many unfinished jobs; nothing was started by this request"},
+	MethodNotAllowed:   {"method_not_allowed", http.StatusMethodNotAllowed, RanUnknown, AdviceNone, "the path does not take this method"},
 }
 
 // All lists every kind but None.
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -20,6 +20,7 @@
 // Limits bounds what strangers can make a server hold.
 type Limits struct {
 	HeaderTimeout time.Duration // to read a request's header
+	BodyTimeout   time.Duration // to read a request's body; 0 for no bound
 	IdleTimeout   time.Duration // between requests of a connection
 	HeaderBytes   int
 	Connections   int // open at once; more wait in the listen queue
@@ -27,7 +28,7 @@
 
 // DefaultLimits suit callers on the open side of an entry.
 func DefaultLimits() Limits {
-	return Limits{HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, HeaderBytes: 16 << 10, Connections: 10_000}
+	return Limits{HeaderTimeout: 5 * time.Second, BodyTimeout: 30 * time.Second, IdleTimeout: time.Minute, HeaderBytes: 16 << 10, Connections: 10_000}
 }
 
 // Server is an HTTP server on one listener.
@@ -44,8 +45,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	return newServer(ln, h, tlsConfig, l), nil
+}
+
+func newServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config, l Limits) *Server {
+	h = timeBodies(h, l.BodyTimeout)
 	if l.Connections > 0 {
-		ln = &limitListener{Listener: ln, free: make(chan struct{}, l.Connections), closed: make(chan struct{})}
+		limited := &limitListener{Listener: ln, free: make(chan struct{}, l.Connections), closed: make(chan struct{})}
+		ln, h = limited, limited.closeWhenCrowded(h)
 	}
 	if tlsConfig != nil {
 		ln = tls.NewListener(ln, tlsConfig)
@@ -57,7 +64,7 @@
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.HeaderBytes,
-	}}, nil
+	}}
 }
 
 // Addr is the address that the server listens on.
@@ -78,12 +85,48 @@
 // or ctx ends.
 func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+// timeBodies bounds the time in which a request's body arrives. Without it a
+// client that sends a byte a minute holds its connection and its share of the
+// limits for as long as it likes, and nothing shows it.
+func timeBodies(next http.Handler, timeout time.Duration) http.Handler {
+	if timeout <= 0 {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		conn := http.NewResponseController(w)
+		_ = conn.SetReadDeadline(time.Now().Add(timeout)) // fails only on what is no connection
+		r.Body = &timedBody{ReadCloser: r.Body, conn: conn}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// timedBody lifts the deadline at the body's end: the caller may then wait for
+// its answer for as long as the job takes.
+type timedBody struct {
+	io.ReadCloser
+	conn *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		_ = b.conn.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // limitListener accepts at most cap(free) connections at once. Without it a
 // flood of connections takes the process's file descriptors, and links to
 // guards fail for want of one.
 type limitListener struct {
 	net.Listener
 	free   chan struct{}
+	open   atomic.Int64
 	closed chan struct{}
 	once   sync.Once
 }
@@ -100,7 +143,23 @@
 		<-l.free
 		return nil, err
 	}
-	return &limitedConn{Conn: c, release: func() { <-l.free }}, nil
+	l.open.Add(1)
+	return &limitedConn{Conn: c, release: func() { l.open.Add(-1); <-l.free }}, nil
+}
+
+// crowdedAt is the part of the limit from which on connections are not kept.
+const crowdedAt = 0.75
+
+// closeWhenCrowded ends a connection after its answer while most of the limit is
+// used up. Otherwise idle connections of one caller could keep all others in the
+// listen queue for the whole idle time.
+func (l *limitListener) closeWhenCrowded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if float64(l.open.Load()) > crowdedAt*float64(cap(l.free)) {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Close implements net.Listener.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -196,6 +196,7 @@
 func (e *Entry) callerLimits() httpserve.Limits {
 	l := httpserve.DefaultLimits()
 	l.HeaderTimeout = e.set.Limits.HeaderTimeout
+	l.BodyTimeout = e.set.Limits.BodyTimeout
 	l.IdleTimeout = e.set.Limits.IdleTimeout
 	l.Connections = int(e.set.Limits.Connections)
 	return l
--- a/internal/recordapi/recordapi.go
+++ b/internal/recordapi/recordapi.go
@@ -12,7 +12,7 @@
 // A member sees and amends its own records alone. Records of others answer as
 // if they did not exist, whether they do or not.
 //
-// The package may import confsync, errkind and record.
+// The package may import confsync, errkind, httpserve and record.
 package recordapi
 
 import (
@@ -29,6 +29,7 @@
 
 	"wigeontray/internal/confsync"
 	"wigeontray/internal/errkind"
+	"wigeontray/internal/httpserve"
 	"wigeontray/internal/record"
 )
 
@@ -106,7 +107,7 @@
 	mux.HandleFunc("GET "+pathRecord, h.with(h.get))
 	mux.HandleFunc("PUT "+pathRecord, h.with(h.put))
 	mux.HandleFunc("DELETE "+pathRecord, h.with(h.delete))
-	return mux
+	return httpserve.Unmatched(mux, h.WriteError)
 }
 
 // with authenticates, and answers with the error of f if there is one.
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -61,6 +61,7 @@
 type EntryLimits struct {
 	Body          int64 // bytes of a submission
 	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
 	Connections   int64
 	Retention     time.Duration // of a finished job's record
@@ -93,8 +94,9 @@
 		hash("operators", "consortium_token_sha256", "SHA-256, in hexadecimal, of the token that may create, amend and delete member records.", func(e *Entry) *string { return &e.Operators.ConsortiumTokenSHA256 }),
 		integer("limits", "body_bytes", "bytes", 8*mib, kib, 64*mib, "Largest body of a submission.", func(e *Entry) *int64 { return &e.Limits.Body }),
 		headerTimeout(func(e *Entry) *time.Duration { return &e.Limits.HeaderTimeout }),
+		millis("limits", "body_timeout_ms", 30_000, 100, 600_000, "Time in which a caller must have sent its request's body, from the end of the header.", func(e *Entry) *time.Duration { return &e.Limits.BodyTimeout }),
 		millis("limits", "idle_timeout_ms", 120_000, 1000, 3_600_000, "Time after which an idle connection of a caller is closed.", func(e *Entry) *time.Duration { return &e.Limits.IdleTimeout }),
-		integer("limits", "connections", "connections", 10_000, 1, 1_000_000, "Most connections of callers at once.", func(e *Entry) *int64 { return &e.Limits.Connections }),
+		integer("limits", "connections", "connections", 10_000, 1, 1_000_000, "Most connections of callers at once. From three quarters of them on, each is closed after its answer.", func(e *Entry) *int64 { return &e.Limits.Connections }),
 		millis("limits", "retention_ms", 600_000, 1000, 86_400_000, "Time for which a finished job is remembered, so that a resubmission gets its answer.", func(e *Entry) *time.Duration { return &e.Limits.Retention }),
 		integer("limits", "answer_bytes", "bytes", 64*mib, mib, 16<<30, "Memory for answers of finished jobs. The oldest go first; the jobs stay known.", func(e *Entry) *int64 { return &e.Limits.AnswerBytes }),
 		integer("limits", "records", "jobs", 1_000_000, 1000, 100_000_000, "Most jobs remembered at once.", func(e *Entry) *int64 { return &e.Limits.Records }),
