--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -11,7 +11,7 @@
 	slowSample   = 12 // newest runs that are looked at for slowness
 	slowMost     = 8  // of them, runs beyond the fleet's 90th percentile
 	firstPenalty = time.Second
-	mostPenalty  = 16 * time.Second
+	mostPenalty  = 8 * time.Second
 	slowProbes   = 3 // slow runs that end a probation
 )
 
