--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,12 +59,21 @@
 	id    identity.Incarnation
 	ready func(identity.Incarnation)
 	known map[identity.Incarnation]bool
+	more  atomic.Pointer[wire.EntryAddr] // another entry, if set
+	hold  chan struct{}                  // delays readiness until it is closed, if set
 }
 
 func (r *soleRouter) MayStart(string, identity.Key) *errkind.Error { return nil }
 func (r *soleRouter) GuardUp(g identity.Incarnation) {
 	if !r.known[g] { // as the real one, it says so once
 		r.known[g] = true
+		if r.hold != nil {
+			go func() {
+				<-r.hold
+				r.ready(g)
+			}()
+			return
+		}
 		r.ready(g)
 	}
 }
@@ -82,19 +92,26 @@
 func (r *soleRouter) Recover(context.Context, identity.Incarnation, string, identity.Key) *Recovered {
 	return &Recovered{Err: errkind.New(errkind.OutcomeUnknown, "the home is gone")}
 }
-func (r *soleRouter) Entries() []wire.EntryAddr                   { return nil }
+func (r *soleRouter) Entries() []wire.EntryAddr {
+	list := []wire.EntryAddr{{Incarnation: r.id, Inner: "127.0.0.1:1"}}
+	if more := r.more.Load(); more != nil {
+		list = append(list, *more)
+	}
+	return list
+}
 func (r *soleRouter) FromGuard(identity.Incarnation, *wire.Frame) {}
 
 // bench is one entry with guards that the test plays.
 type bench struct {
 	*qt.C
-	t       *testing.T
+	t       testing.TB
 	s       *Server
+	router  *soleRouter
 	config  *fixedConfig
 	handler http.Handler
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t testing.TB) *bench {
 	const id = "entry-a-000001"
 	router := &soleRouter{id: id, known: make(map[identity.Incarnation]bool)}
 	config := &fixedConfig{revision: 7}
@@ -104,7 +121,7 @@
 	})
 	router.ready = s.GuardReady
 	t.Cleanup(s.Close)
-	return &bench{C: qt.New(t), t: t, s: s, config: config, handler: s.Handler()}
+	return &bench{C: qt.New(t), t: t, s: s, router: router, config: config, handler: s.Handler()}
 }
 
 // guard links a guard of ayni/reserva and returns the guard's end.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -125,6 +125,9 @@
 	if e.callers, err = httpserve.Listen(e.set.Callers, e.server.Handler(), callersTLS, e.callerLimits()); err != nil {
 		return err
 	}
+	e.metrics.ReadCounter(telemetry.HandshakesFailed, func() int64 {
+		return e.inner.HandshakesFailed() + e.callers.HandshakesFailed()
+	})
 	e.admin, err = httpserve.Listen(e.set.Admin, e.server.AdminHandler(), nil, httpserve.DefaultLimits())
 	return err
 }
@@ -193,6 +196,7 @@
 func (e *Entry) callerLimits() httpserve.Limits {
 	l := httpserve.DefaultLimits()
 	l.HeaderTimeout = e.set.Limits.HeaderTimeout
+	l.BodyTimeout = e.set.Limits.BodyTimeout
 	l.IdleTimeout = e.set.Limits.IdleTimeout
 	l.Connections = int(e.set.Limits.Connections)
 	return l
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -21,6 +21,7 @@
 	LinksLost
 	LinksRefused
 	LinksRevoked
+	HandshakesFailed
 	FramesOut
 	FramesIn
 	BytesOut
@@ -82,28 +83,29 @@
 )
 
 var counterFamilies = [counterCount]Family{
-	JobsAccepted:    {Name: "wigeontray_jobs_accepted_total", Help: "Jobs admitted."},
-	JobsAnswered:    {Name: "wigeontray_jobs_answered_total", Help: "Jobs that ended with every task's result."},
-	JobsFailed:      {Name: "wigeontray_jobs_failed_total", Help: "Admitted jobs that ended marked failed."},
-	JobsCancelled:   {Name: "wigeontray_jobs_cancelled_total", Help: "Admitted jobs that their caller cancelled."},
-	JobsResubmitted: {Name: "wigeontray_jobs_resubmitted_total", Help: "Submissions of an identity that was known already; nothing was started for them."},
-	JobsForwarded:   {Name: "wigeontray_jobs_forwarded_total", Help: "Requests passed to the entry that owns their identity."},
-	TasksStarted:    {Name: "wigeontray_tasks_started_total", Help: "Starts sent to guards, repeated ones among them."},
-	TasksAnswered:   {Name: "wigeontray_tasks_answered_total", Help: "Tasks whose upstream answered."},
-	TasksNotStarted: {Name: "wigeontray_tasks_not_started_total", Help: "Tasks of which a guard said that it will never start them."},
-	GuardsLost:      {Name: "wigeontray_guards_lost_total", Help: "Guards whose link broke without a planned stop."},
-	GuardsLeft:      {Name: "wigeontray_guards_left_total", Help: "Guards that announced a planned stop."},
-	LinksOpened:     {Name: "wigeontray_links_opened_total", Help: "Links opened to guards, entries or peers."},
-	LinksLost:       {Name: "wigeontray_links_lost_total", Help: "Links that ended for any reason."},
-	LinksRefused:    {Name: "wigeontray_links_refused_total", Help: "Links that ended at their first frame: a wrong key, a version too far away or claims beyond the limits."},
-	LinksRevoked:    {Name: "wigeontray_links_revoked_total", Help: "Links of guards that were closed because their member's record no longer lists their key."},
-	FramesOut:       {Name: "wigeontray_frames_out_total", Help: "Frames sent on links."},
-	FramesIn:        {Name: "wigeontray_frames_in_total", Help: "Frames received on links."},
-	BytesOut:        {Name: "wigeontray_bytes_out_total", Help: "Payload bytes sent on links."},
-	BytesIn:         {Name: "wigeontray_bytes_in_total", Help: "Payload bytes received on links."},
-	FramesUnknown:   {Name: "wigeontray_frames_unknown_total", Help: "Frames of a kind that only a newer version knows; they were passed over."},
-	FramesRefused:   {Name: "wigeontray_frames_refused_total", Help: "Frames that their sender may not send: of a guard whose key is not verified yet, of the other kind of link, or about another member's job. They had no effect."},
-	ConfigsApplied:  {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
+	JobsAccepted:     {Name: "wigeontray_jobs_accepted_total", Help: "Jobs admitted."},
+	JobsAnswered:     {Name: "wigeontray_jobs_answered_total", Help: "Jobs that ended with every task's result."},
+	JobsFailed:       {Name: "wigeontray_jobs_failed_total", Help: "Admitted jobs that ended marked failed."},
+	JobsCancelled:    {Name: "wigeontray_jobs_cancelled_total", Help: "Admitted jobs that their caller cancelled."},
+	JobsResubmitted:  {Name: "wigeontray_jobs_resubmitted_total", Help: "Submissions of an identity that was known already; nothing was started for them."},
+	JobsForwarded:    {Name: "wigeontray_jobs_forwarded_total", Help: "Requests passed to the entry that owns their identity."},
+	TasksStarted:     {Name: "wigeontray_tasks_started_total", Help: "Starts sent to guards, repeated ones among them."},
+	TasksAnswered:    {Name: "wigeontray_tasks_answered_total", Help: "Tasks whose upstream answered."},
+	TasksNotStarted:  {Name: "wigeontray_tasks_not_started_total", Help: "Tasks of which a guard said that it will never start them."},
+	GuardsLost:       {Name: "wigeontray_guards_lost_total", Help: "Guards whose link broke without a planned stop."},
+	GuardsLeft:       {Name: "wigeontray_guards_left_total", Help: "Guards that announced a planned stop."},
+	LinksOpened:      {Name: "wigeontray_links_opened_total", Help: "Links opened to guards, entries or peers."},
+	LinksLost:        {Name: "wigeontray_links_lost_total", Help: "Links that ended for any reason."},
+	LinksRefused:     {Name: "wigeontray_links_refused_total", Help: "Links that ended at their first frame: a wrong key, a version too far away or claims beyond the limits."},
+	LinksRevoked:     {Name: "wigeontray_links_revoked_total", Help: "Links of guards that were closed because their member's record no longer lists their key."},
+	HandshakesFailed: {Name: "wigeontray_tls_handshakes_failed_total", Help: "Connections that ended in their TLS handshake, such as those with a certificate of another authority."},
+	FramesOut:        {Name: "wigeontray_frames_out_total", Help: "Frames sent on links."},
+	FramesIn:         {Name: "wigeontray_frames_in_total", Help: "Frames received on links."},
+	BytesOut:         {Name: "wigeontray_bytes_out_total", Help: "Payload bytes sent on links."},
+	BytesIn:          {Name: "wigeontray_bytes_in_total", Help: "Payload bytes received on links."},
+	FramesUnknown:    {Name: "wigeontray_frames_unknown_total", Help: "Frames of a kind that only a newer version knows; they were passed over."},
+	FramesRefused:    {Name: "wigeontray_frames_refused_total", Help: "Frames that their sender may not send: of a guard whose key is not verified yet, of the other kind of link, or about another member's job. They had no effect."},
+	ConfigsApplied:   {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
 }
 
 var gaugeFamilies = [gaugeCount]Family{
