entry, peers: guards and entries are believed only on what is theirs

Cause: an entry took any linked guard's FenceReport and Collected for any member's job, so that a rival's guard could make up the results of a job whose entry had died. Recovery asked every guard about a job, which told its identity to rivals' VMs. A guard that went by another one's incarnation took its place in the table of links, to which fences and questions go. Frames that only the other kind of link carries were passed over as those of a newer version.

Change: a guard is heard on its own member's jobs only, and asked about no others; foreign frames are counted, in wigeontray_frames_refused_total or wigeontray_peers_refused_frame, and end the link, as does the incarnation of a guard of another service. The context of peers is read under its lock: a link that came in just before Run raced with it (found by the new test under -race).

Left: a rival's report can keep recovery from a verdict on another member's job, by its floor or its length. It cannot make the verdict false.

--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -62,9 +64,17 @@
 	s.delist(g, err)
 }
 
-// enlist puts a verified link to use; false if the entry is closing.
+// enlist puts a verified link to use; false if the entry is closing or the guard
+// goes by another one's name.
 func (s *Server) enlist(g *guardLink) bool {
 	h := g.hello
+	if old := s.links.get(h.Incarnation); old != nil && old.hello.Service != h.Service {
+		// Fences and questions about results go to guards by incarnation: in
+		// another's name it would be asked about that member's jobs.
+		s.metrics.Inc(telemetry.LinksRefused)
+		g.link.Close("the incarnation is another's")
+		return false
+	}
 	// The lane is there before the link is listed, so that a change of the
 	// configuration, which goes out by lane, cannot miss the guard.
 	l := s.lane(h.Service)
@@ -178,6 +188,27 @@
 	return nil
 }
 
+// errForeignFrame ends a link whose guard sent what only entries send, or spoke
+// of another member's job.
+var errForeignFrame = errors.New("a frame that this guard may not send")
+
+// speaksFor tells whether f is a guard's word on jobs of its own member. Believed
+// on those of others, a rival's guard could make up their results when an entry
+// is gone, or pass them off as started.
+func (g *guardLink) speaksFor(f *wire.Frame) bool {
+	member := record.Owner(g.hello.Service)
+	switch {
+	case f.FenceReport != nil:
+		return !slices.ContainsFunc(f.FenceReport.Started, func(s wire.Started) bool { return s.Ref.Member != member })
+	case f.Collected != nil:
+		c := f.Collected
+		return c.Member == member && !slices.ContainsFunc(c.Results, func(r wire.Result) bool {
+			return r.Ref.Member != member || r.Ref.Key != c.Key
+		})
+	}
+	return false
+}
+
 // pump reads the link until it ends.
 func (s *Server) pump(ctx context.Context, g *guardLink) error {
 	for {
@@ -195,10 +226,13 @@
 			s.config.FromGuard(f.Config)
 		case f.ConfigAck != nil:
 			s.links.acked(g, f.ConfigAck.Revision)
-		case f.FenceReport != nil, f.Collected != nil:
+		case g.speaksFor(f):
 			s.router.FromGuard(g.hello.Incarnation, f)
-		default:
+		case *f == (wire.Frame{}):
 			s.metrics.Inc(telemetry.FramesUnknown)
+		default:
+			s.metrics.Inc(telemetry.FramesRefused)
+			return errForeignFrame
 		}
 	}
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -61,6 +61,8 @@
 	known map[identity.Incarnation]bool
 	more  atomic.Pointer[wire.EntryAddr] // another entry, if set
 	hold  chan struct{}                  // delays readiness until it is closed, if set
+	peer  *Server                        // serves what is forwarded, if set
+	heard []*wire.Frame                  // of guards
 }
 
 func (r *soleRouter) MayStart(string, identity.Key) *errkind.Error { return nil }
@@ -86,7 +88,10 @@
 	}
 	return r.id, nil
 }
-func (r *soleRouter) Forward(context.Context, identity.Incarnation, *wire.Forward) (*wire.Forwarded, error) {
+func (r *soleRouter) Forward(ctx context.Context, _ identity.Incarnation, f *wire.Forward) (*wire.Forwarded, error) {
+	if r.peer != nil {
+		return r.peer.ServeForward(ctx, f), nil
+	}
 	return nil, errkind.New(errkind.HomeUnreachable, "no peers")
 }
 func (r *soleRouter) Recover(context.Context, identity.Incarnation, string, identity.Key) *Recovered {
@@ -99,7 +104,7 @@
 	}
 	return list
 }
-func (r *soleRouter) FromGuard(identity.Incarnation, *wire.Frame) {}
+func (r *soleRouter) FromGuard(_ identity.Incarnation, f *wire.Frame) { r.heard = append(r.heard, f) }
 
 // bench is one entry with guards that the test plays.
 type bench struct {
@@ -111,8 +116,9 @@
 	handler http.Handler
 }
 
-func newBench(t testing.TB) *bench {
-	const id = "entry-a-000001"
+func newBench(t testing.TB) *bench { return newBenchOf(t, "entry-a-000001") }
+
+func newBenchOf(t testing.TB, id identity.Incarnation) *bench {
 	router := &soleRouter{id: id, known: make(map[identity.Incarnation]bool)}
 	config := &fixedConfig{revision: 7}
 	s := New(Options{
--- a/internal/entry/peerrouter.go
+++ b/internal/entry/peerrouter.go
@@ -8,6 +8,7 @@
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/peers"
+	"wigeontray/internal/record"
 	"wigeontray/internal/recovery"
 	"wigeontray/internal/wire"
 )
@@ -26,9 +27,10 @@
 		<-bound
 		return s.ServeForward(ctx, f)
 	}
+	r := new(PeerRouter)
 	o.ToGuard = func(g identity.Incarnation, f *wire.Frame) {
 		<-bound
-		s.links.send(g, f)
+		r.toGuard(s, g, f)
 	}
 	o.OnGuardReady = func(g identity.Incarnation) {
 		<-bound
@@ -37,13 +39,26 @@
 	o.Revision = func() int64 { <-bound; return s.config.Revision() }
 	o.Config = func() *wire.Config { <-bound; return s.config.ForPeers() }
 	o.OnConfig = func(c *wire.Config) { <-bound; s.config.FromPeer(c) }
-	r := &PeerRouter{Peers: peers.New(o)}
+	r.Peers = peers.New(o)
 	return r, func(server *Server) {
 		s = server
 		close(bound)
 	}
 }
 
+// toGuard sends a frame, but asks no guard about another member's job: a rival's
+// VM would learn its identity, and the guard was never sent any of its tasks. Its
+// answer is known without asking.
+func (r *PeerRouter) toGuard(s *Server, id identity.Incarnation, f *wire.Frame) {
+	g := s.links.get(id)
+	if c := f.Collect; c != nil && g != nil && record.Owner(g.hello.Service) != c.Member {
+		// Aside, as this is called under the lock that the answer takes.
+		go r.GuardCollected(id, &wire.Collected{Member: c.Member, Key: c.Key})
+		return
+	}
+	s.links.send(id, f)
+}
+
 // Owner implements Router.
 func (r *PeerRouter) Owner(member string, key identity.Key) (identity.Incarnation, *errkind.Error) {
 	owner, _, ok := r.View().Owner(member, key)
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -230,13 +230,14 @@
 	default:
 		p.do(func(now time.Time) {
 			if (*p.links.Load())[l.addr.Incarnation] == l {
-				p.handleLocked(now, l.addr.Incarnation, f)
+				p.handleLocked(now, l, f)
 			}
 		})
 	}
 }
 
-func (p *Peers) handleLocked(now time.Time, from identity.Incarnation, f *wire.Frame) {
+func (p *Peers) handleLocked(now time.Time, l *peerLink, f *wire.Frame) {
+	from := l.addr.Incarnation
 	p.recovery.Seen(now, from)
 	switch {
 	case f.Promise != nil:
@@ -249,7 +250,12 @@
 		p.recovery.Witness(now, from, f.Witness)
 	case f.Witnessed != nil:
 		p.announcer.Acknowledged(from, f.Witnessed.Seq)
-	default:
+	case *f == (wire.Frame{}):
 		p.opt.count("unknown_frame")
+	default:
+		// Of a guard, or in another entry's name. Obeyed nowhere; a process that
+		// sends it is no entry of ours, whatever key it holds.
+		p.opt.count("refused_frame")
+		l.link.Close("a frame that no entry sends")
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -107,9 +107,10 @@
 }
 
 // spawn runs f in a goroutine that Run waits for. The caller holds mu.
-func (p *Peers) spawn(f func()) {
+func (p *Peers) spawn(f func(ctx context.Context)) {
 	if !p.stopped {
-		p.wg.Go(f)
+		ctx := p.ctx // under mu: a link can be accepted just before Run sets it
+		p.wg.Go(func() { f(ctx) })
 	}
 }
 
@@ -273,10 +274,10 @@
 	case a.Join != nil:
 		p.sendTo(a.Join.To, &wire.Frame{Join: a.Join.Ask})
 	case a.Swap != nil:
-		p.spawn(func() { p.swap(p.ctx, a.Swap) })
+		p.spawn(func(ctx context.Context) { p.swap(ctx, a.Swap) })
 	case a.Read && !p.reading:
 		p.reading = true
-		p.spawn(func() { p.readRoster(p.ctx) })
+		p.spawn(p.readRoster)
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -7,12 +7,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/recovery"
 	"wigeontray/internal/roster"
 	"wigeontray/internal/wire"
+	"wigeontray/internal/wire/wiretest"
 )
 
 const settle = roster.DefaultJoinLead + 15*time.Second
@@ -329,3 +331,28 @@
 		n.c.Assert(n.entries["c"].gone, qt.HasLen, 0)
 	})
 }
+
+// A process that knows the fleet's key links as an entry and sends what only
+// guards send, or asks to join in another entry's name. It must be cut off and
+// counted, or it could pass results off as those of a worker.
+func TestPeerSendsFramesOfGuards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork(t, ctx, "a")
+		defer func() { cancel(); n.wg.Wait() }()
+		a := n.entries["a"]
+		for _, f := range []*wire.Frame{
+			{Result: &wire.Result{}}, {Load: &wire.Load{}}, {Offer: &wire.Offer{}}, {Start: &wire.Start{}},
+			{FenceReport: &wire.FenceReport{}}, {Collected: &wire.Collected{}}, {Hello: &wire.Hello{}},
+			{Join: &wire.Join{Entry: wire.EntryAddr{Incarnation: "c"}}},
+		} {
+			ours, theirs := wiretest.Pipe()
+			n.wg.Go(func() { a.Accept(ctx, ours) })
+			n.c.Assert(theirs.Send(&wire.Frame{PeerHello: &wire.PeerHello{Version: wire.Version, MinVersion: wire.MinVersion, Incarnation: "b", Region: "lima"}}), qt.IsNil)
+			n.c.Assert(theirs.Send(f), qt.IsNil)
+			<-theirs.Done()
+		}
+		refused := metrics.GetOrRegisterCounter("peers.refused_frame", a.opt.Registry)
+		n.c.Assert(refused.Count(), qt.Equals, int64(8))
+	})
+}
--- a/internal/peers/suspicion.go
+++ b/internal/peers/suspicion.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -85,8 +86,8 @@
 			continue
 		}
 		k.dialing, k.nextDial = true, now.Add(dialEvery)
-		p.spawn(func() {
-			p.dial(p.ctx, k.addr)
+		p.spawn(func(ctx context.Context) {
+			p.dial(ctx, k.addr)
 			p.mu.Lock()
 			k.dialing = false
 			p.mu.Unlock()
@@ -109,7 +110,7 @@
 		}
 	}
 	p.seeds[inner] = now.Add(dialTimeout + helloTimeout + dialEvery)
-	p.spawn(func() { p.dial(p.ctx, wire.EntryAddr{Inner: inner}) })
+	p.spawn(func(ctx context.Context) { p.dial(ctx, wire.EntryAddr{Inner: inner}) })
 }
 
 // setEntries takes the store's list of registered entries.
