ledger: slots held for offers count as queued in reports to other entries

Cause: a report said that a held slot was free; other entries sent tasks there and were refused busy.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -176,10 +176,21 @@
 
 // Load makes a new load report; each has a greater Seq than the one before. A
 // guard that takes no new work reports no slots.
-func (l *Ledger) Load() wire.Load {
+func (l *Ledger) Load() wire.Load { return l.loadFor("") }
+
+// loadFor is a report for one entry. Slots that are held for offers to other
+// entries count as queued: the entry would take them for free, send tasks there
+// and have them refused as busy.
+func (l *Ledger) loadFor(to identity.Incarnation) wire.Load {
 	l.loadSeq++
+	held := len(l.offers)
+	for _, o := range l.offers {
+		if o.to.name == to {
+			held--
+		}
+	}
 	load := wire.Load{
-		Seq: l.loadSeq, Running: l.running, Queued: len(l.queue),
+		Seq: l.loadSeq, Running: l.running, Queued: len(l.queue) + held,
 		Draining: l.draining, Healthy: l.healthy,
 	}
 	if l.open() {
@@ -260,7 +271,7 @@
 }
 
 func (l *Ledger) sendLoad(to identity.Incarnation) {
-	load := l.Load()
+	load := l.loadFor(to)
 	l.send(to, &wire.Frame{Load: &load})
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -337,3 +337,13 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// A slot is held for an offer to one entry. Told that it is free, another entry
+// sends a task there and is refused, which shuts this guard for the task.
+func TestHeldOffersAreNotReportedFree(t *testing.T) {
+	r := newRig(t, Options{Slots: 2, Hold: time.Second})
+	r.Reserve(r.now, a, &wire.Reserve{Want: 1})
+	r.Actions()
+	qt.Assert(t, r.loadFor(b).Queued, qt.Equals, 1)
+	qt.Assert(t, r.loadFor(a).Queued, qt.Equals, 0)
+}
--- a/internal/ledger/slots.go
+++ b/internal/ledger/slots.go
@@ -101,7 +101,7 @@
 	l.offerID++
 	e.offered++
 	l.offers = append(l.offers, offer{id: l.offerID, to: e, until: now.Add(l.opt.Hold)})
-	msg := &wire.Offer{ID: l.offerID, HoldMs: l.opt.Hold.Milliseconds(), Load: l.Load()}
+	msg := &wire.Offer{ID: l.offerID, HoldMs: l.opt.Hold.Milliseconds(), Load: l.loadFor(e.name)}
 	l.send(e.name, &wire.Frame{Offer: msg})
 }
 
--- a/internal/ledger/start.go
+++ b/internal/ledger/start.go
@@ -172,6 +172,6 @@
 	if l.entry(to) == nil {
 		return
 	}
-	res.Load = l.Load()
+	res.Load = l.loadFor(to)
 	l.send(to, &wire.Frame{Result: &res})
 }
