entry: a member's open requests, bodies and amendments are bounded

Cause: connections, memory and the entry's rate of store calls are common to all members. One member's waiting requests could take every connection; its bodies, each within the limit, the memory; its amendments the store calls, behind which the renewal of the entry's lease waits.

Ruled out: a bound by address, as callers come through the platform's balancer. The kind overloaded, which claims that the identity never ran: nothing is recorded here.

A body whose length is not told counts as the largest; a first body is always let in.

Not bounded for each member: connections that carry no token yet, and what peers pass on.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -27,8 +27,8 @@
 	mux.HandleFunc("DELETE /v1/jobs/{key}", s.member(s.deleteJob))
 	mux.HandleFunc("GET /v1/ticket", s.member(s.getTicket))
 	if s.opts.Records != nil {
-		mux.Handle("/v1/records", s.opts.Records)
-		mux.Handle("/v1/records/", s.opts.Records)
+		mux.HandleFunc("/v1/records", s.serveRecords)
+		mux.HandleFunc("/v1/records/", s.serveRecords)
 	}
 	return httpserve.Unmatched(mux, s.refuseUnmatched)
 }
@@ -59,6 +59,12 @@
 			s.refuse(w, "", err)
 			return
 		}
+		release, err := s.claim(name, r)
+		if err != nil {
+			s.refuse(w, "", err)
+			return
+		}
+		defer release()
 		next(w, r, name)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,19 +61,22 @@
 
 // Options configures a Server. Zero limits take defaults.
 type Options struct {
-	ID          identity.Incarnation
-	Domain      string
-	FleetKey    string // accepted of guards whose member lists no key of its own
-	Software    string
-	MaxBody     int64         // bytes in a submission
-	MaxSlots    int           // slots that one guard may claim
-	MaxDeadline time.Duration // longest deadline of a job
-	Jobs        jobs.Limits
-	Seed        uint64
-	Config      Config
-	Router      Router
-	Metrics     *telemetry.Registry
-	Log         *log.Logger
+	ID       identity.Incarnation
+	Domain   string
+	FleetKey string // accepted of guards whose member lists no key of its own
+	Software string
+	MaxBody  int64 // bytes in a submission
+	// OpenRequests and OpenBytes bound one member's open requests and their bodies.
+	OpenRequests int
+	OpenBytes    int64
+	MaxSlots     int           // slots that one guard may claim
+	MaxDeadline  time.Duration // longest deadline of a job
+	Jobs         jobs.Limits
+	Seed         uint64
+	Config       Config
+	Router       Router
+	Metrics      *telemetry.Registry
+	Log          *log.Logger
 	// Records serves the operators' record API, if set.
 	Records http.Handler
 	// OnConfig is called after a new snapshot is in force here, if set.
@@ -82,15 +85,23 @@
 
 // Defaults of Options.
 const (
-	DefaultMaxBody     = 4 << 20
-	DefaultMaxSlots    = 1024
-	DefaultMaxDeadline = time.Minute
+	DefaultMaxBody      = 4 << 20
+	DefaultOpenRequests = 4000
+	DefaultOpenBytes    = 64 << 20
+	DefaultMaxSlots     = 1024
+	DefaultMaxDeadline  = time.Minute
 )
 
 func (o *Options) setDefaults() {
 	if o.MaxBody == 0 {
 		o.MaxBody = DefaultMaxBody
 	}
+	if o.OpenRequests == 0 {
+		o.OpenRequests = DefaultOpenRequests
+	}
+	if o.OpenBytes == 0 {
+		o.OpenBytes = DefaultOpenBytes
+	}
 	if o.MaxSlots == 0 {
 		o.MaxSlots = DefaultMaxSlots
 	}
@@ -122,6 +133,8 @@
 	stopping   atomic.Bool // fresh jobs are refused
 	leaving    atomic.Bool // not ready, but still serving
 	waiters    atomic.Int64
+	open       shares // of callers' requests
+	amending   shares // of amendments of records
 
 	ctx context.Context // ends with Close
 	end context.CancelFunc
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -116,6 +116,9 @@
 	handler http.Handler
 }
 
+// benchRequests is how many requests a member may have open at a bench's entry.
+const benchRequests = 4
+
 func newBench(t testing.TB) *bench { return newBenchOf(t, "entry-a-000001") }
 
 func newBenchOf(t testing.TB, id identity.Incarnation) *bench {
@@ -124,6 +127,7 @@
 	s := New(Options{
 		ID: id, Config: config, Router: router,
 		Metrics: telemetry.New(), Log: log.New(io.Discard), FleetKey: "fleet",
+		OpenRequests: benchRequests,
 	})
 	router.ready = s.GuardReady
 	t.Cleanup(s.Close)
--- a/internal/entry/hostile_test.go
+++ b/internal/entry/hostile_test.go
@@ -136,8 +136,9 @@
 	}
 }
 
-// Names of megabytes come back in refusals, which are held for resubmissions. One
-// member could push another's answers out of memory with them.
+// Names of megabytes come back in refusals, which are held for resubmissions. A
+// team's faulty client would push the member's other answers out of memory, whose
+// callers would then be told that they are no longer held.
 func TestLongNamesAreNotHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
--- a/internal/entry/submission.go
+++ b/internal/entry/submission.go
@@ -51,7 +51,7 @@
 	switch {
 	case max(len(s.Service), len(s.Job), len(s.Team)) > maxNameLen:
 		// Refusals repeat the name and are held for resubmissions: names of
-		// megabytes would push other members' answers out of memory.
+		// megabytes would push the member's other answers out of memory.
 		return nil, errkind.New(errkind.BadRequest, "a name is longer than %d bytes", maxNameLen)
 	case (s.Service == "") == (s.Job == ""):
 		return nil, errkind.New(errkind.BadRequest, "want either service or job")
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -125,7 +125,7 @@
 	StoreUnavailable:   {"store_unavailable", http.StatusServiceUnavailable, RanUnknown, AdviceSame, "the platform's store does not answer"},
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, RanNo, AdviceNewIdentity, "this process is at its limit"},
 	Internal:           {"internal", http.StatusInternalServerError, RanUnknown, AdviceAsk, "an internal error"},
-	TooManyJobs:        {"too_many_jobs", http.StatusServiceUnavailable, RanUnknown, AdviceSame, "the member has too many unfinished jobs; nothing was started by this request"},
+	TooManyJobs:        {"too_many_jobs", http.StatusServiceUnavailable, RanUnknown, AdviceSame, "the member has too many unfinished jobs or open requests; nothing was started by this request"},
 	MethodNotAllowed:   {"method_not_allowed", http.StatusMethodNotAllowed, RanUnknown, AdviceNone, "the path does not take this method"},
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -155,7 +155,8 @@
 	}
 	e.server = entry.New(entry.Options{
 		ID: self.Incarnation, Domain: self.Domain, FleetKey: key, Software: telemetry.Version,
-		MaxBody: e.set.Limits.Body, Jobs: e.jobLimits(), Seed: rand.Uint64(),
+		MaxBody: e.set.Limits.Body, OpenRequests: int(e.set.Limits.OpenRequests), OpenBytes: e.set.Limits.OpenBytes,
+		Jobs: e.jobLimits(), Seed: rand.Uint64(),
 		Config: config, Router: router, Metrics: e.metrics, Log: e.log, Records: records,
 		OnConfig: router.ConfigChanged,
 	})
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -64,6 +64,8 @@
 	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
 	Connections   int64
+	OpenRequests  int64         // of one member
+	OpenBytes     int64         // of the bodies of one member's open requests
 	Retention     time.Duration // of a finished job's record
 	AnswerBytes   int64         // held answers, all together
 	Records       int64         // job records held
@@ -97,6 +99,8 @@
 		millis("limits", "body_timeout_ms", 30_000, 100, 600_000, "Time in which a caller must have sent its request's body, from the end of the header.", func(e *Entry) *time.Duration { return &e.Limits.BodyTimeout }),
 		millis("limits", "idle_timeout_ms", 120_000, 1000, 3_600_000, "Time after which an idle connection of a caller is closed.", func(e *Entry) *time.Duration { return &e.Limits.IdleTimeout }),
 		integer("limits", "connections", "connections", 10_000, 1, 1_000_000, "Most connections of callers at once. From three quarters of them on, each is closed after its answer.", func(e *Entry) *int64 { return &e.Limits.Connections }),
+		integer("limits", "open_requests", "requests", 4000, 1, 1_000_000, "Most requests of one member open at once. It should be well below `connections`, so that one member's flood leaves the others room.", func(e *Entry) *int64 { return &e.Limits.OpenRequests }),
+		integer("limits", "open_bytes", "bytes", 64*mib, mib, 16<<30, "Most bytes of bodies in one member's open requests.", func(e *Entry) *int64 { return &e.Limits.OpenBytes }),
 		millis("limits", "retention_ms", 600_000, 1000, 86_400_000, "Time for which a finished job is remembered, so that a resubmission gets its answer.", func(e *Entry) *time.Duration { return &e.Limits.Retention }),
 		integer("limits", "answer_bytes", "bytes", 64*mib, mib, 16<<30, "Memory for answers of finished jobs. The oldest go first; the jobs stay known.", func(e *Entry) *int64 { return &e.Limits.AnswerBytes }),
 		integer("limits", "records", "jobs", 1_000_000, 1000, 100_000_000, "Most jobs remembered at once.", func(e *Entry) *int64 { return &e.Limits.Records }),
