--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -137,6 +137,8 @@
 	keys      string // folder of the fleet's certificates; empty for no TLS
 	entries   map[string]*entryProcess
 	upstreams map[string]*sample.Upstream
+	urls      map[string]string // of the upstreams
+	slots     map[string]int    // of workers; 0 for the default
 }
 
 type entryProcess struct {
@@ -168,6 +170,7 @@
 	f := &fleet{
 		C: qt.New(t), t: t, dir: t.TempDir(), kv: standin.New(),
 		entries: make(map[string]*entryProcess), upstreams: make(map[string]*sample.Upstream),
+		urls: make(map[string]string), slots: make(map[string]int),
 	}
 	srv := httptest.NewServer(f.kv)
 	t.Cleanup(func() {
@@ -303,7 +306,7 @@
 		srv.CloseClientConnections()
 		srv.Close()
 	})
-	f.upstreams[name] = up
+	f.upstreams[name], f.urls[name] = up, srv.URL
 	return f.guard(name, srv.URL)
 }
 
@@ -337,16 +340,25 @@
 [upstream]
 url = %s
 service = ayni/reserva
+%s
 [listen]
 admin = 127.0.0.1:0
 [fleet]
 key_file = %s
 [tls]
 %s
-`, name, strings.Join(entries, ","), upstream, keyFile, f.tls(certs, tlsconf.GuardCert, tlsconf.GuardKey))
+`, name, strings.Join(entries, ","), upstream, f.slotsLine(name), keyFile, f.tls(certs, tlsconf.GuardCert, tlsconf.GuardKey))
 	return f.start("wigeontray-guard", "--config", f.file(name+".ini", ini))
 }
 
+// slotsLine is the setting of a worker's slots, none for the default.
+func (f *fleet) slotsLine(worker string) string {
+	if n := f.slots[worker]; n > 0 {
+		return fmt.Sprintf("slots = %d", n)
+	}
+	return ""
+}
+
 func (f *fleet) eventually(what string, ok func() bool) {
 	f.t.Helper()
 	deadline := time.Now().Add(patience)
