--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,7 @@
 	Compare    compareCmd    `cmd:"" help:"Compare the ways of placing tasks on generated workloads."`
 	Capacity   capacityCmd   `cmd:"" help:"Measure what guards and tasks cost at an entry."`
 	Record     recordCmd     `cmd:"" help:"Read and amend records through an entry."`
+	Local      localCmd      `cmd:"" help:"Stand-ins to try a fleet on one machine: a store and an upstream."`
 	Keys       keysCmd       `cmd:"" help:"Make a certificate authority and certificates for a fleet, or a member's token."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -47,7 +47,7 @@
 func TestCheckSamples(t *testing.T) {
 	code, out, errs := run(t, "check", filepath.Join("..", "..", "examples"))
 	qt.Assert(t, code, qt.Equals, operator.ExitOK, qt.Commentf("%s", errs))
-	qt.Assert(t, strings.Count(out, `"ok": true`), qt.Equals, 12)
+	qt.Assert(t, strings.Count(out, `"ok": true`), qt.Equals, 16)
 	bad := filepath.Join(t.TempDir(), "entry.ini")
 	qt.Assert(t, os.WriteFile(bad, []byte("[node]\nnmae = x\n"), 0o600), qt.IsNil)
 	code, out, _ = run(t, "check", bad)
--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -54,12 +54,18 @@
 	File []string `arg:"" help:"Settings (.ini) and records (.json); folders are read whole."`
 }
 
+// checkable tells whether a file in a folder is a settings file or a record.
+func checkable(path string) bool {
+	ext := filepath.Ext(path)
+	return ext == ".ini" || ext == ".json"
+}
+
 // Run checks every file and prints what was found in each.
 func (c *checkCmd) Run(e *env) error {
 	var files []string
 	for _, root := range c.File {
 		err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
-			if err == nil && !d.IsDir() {
+			if err == nil && !d.IsDir() && (path == root || checkable(path)) {
 				files = append(files, path)
 			}
 			return err
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -85,6 +85,9 @@
 // or ctx ends.
 func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+// Close ends the listener and all connections at once.
+func (s *Server) Close() error { return s.http.Close() }
+
 // timeBodies bounds the time in which a request's body arrives. Without it a
 // client that sends a byte a minute holds its connection and its share of the
 // limits for as long as it likes, and nothing shows it.
