e2e: two regions over one store, one of them cut off from it

Ruled out: the fault handle of the stand-in itself, which takes the store from both regions at once.

A cut that outlasts the ceiling (10 s at the least, an hour by default) was not run.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -139,6 +139,8 @@
 	upstreams map[string]*sample.Upstream
 	urls      map[string]string // of the upstreams
 	slots     map[string]int    // of workers; 0 for the default
+	region    string
+	service   string // of the workers
 }
 
 type entryProcess struct {
@@ -171,6 +173,7 @@
 		C: qt.New(t), t: t, dir: t.TempDir(), kv: standin.New(),
 		entries: make(map[string]*entryProcess), upstreams: make(map[string]*sample.Upstream),
 		urls: make(map[string]string), slots: make(map[string]int),
+		region: "lima", service: "ayni/reserva",
 	}
 	srv := httptest.NewServer(f.kv)
 	t.Cleanup(func() {
@@ -255,7 +258,7 @@
 	}
 	ini := fmt.Sprintf(`[node]
 name = %s
-region = lima
+region = %s
 failure_domain = callao-a
 [listen]
 callers = 127.0.0.1:0
@@ -271,7 +274,7 @@
 %s
 [log]
 format = json
-`, name, strings.Join(peers, ","), f.kvURL, f.fleetKey, f.tls(f.keys, tlsconf.EntryCert, tlsconf.EntryKey))
+`, name, f.region, strings.Join(peers, ","), f.kvURL, f.fleetKey, f.tls(f.keys, tlsconf.EntryCert, tlsconf.EntryKey))
 	e := &entryProcess{process: f.start("wigeontray", "serve", "--config", f.file(name+".ini", ini)), roots: f.roots()}
 	f.eventually("entry "+name+" tells its addresses", e.readAddresses)
 	f.entries[name] = e
@@ -300,7 +303,8 @@
 func (f *fleet) worker(name string) *process {
 	up := sample.New(name, 1)
 	mux := http.NewServeMux()
-	mux.Handle("/reserva/run", up) // the path of the service's record
+	mux.Handle("/reserva/run", up) // the paths of the services' records
+	mux.Handle("/clubcast/run", up)
 	srv := httptest.NewServer(mux)
 	f.t.Cleanup(func() {
 		srv.CloseClientConnections()
@@ -334,12 +338,12 @@
 worker = %s
 rack = r1
 failure_domain = callao-a
-region = lima
+region = %s
 [entries]
 addresses = %s
 [upstream]
 url = %s
-service = ayni/reserva
+service = %s
 %s
 [listen]
 admin = 127.0.0.1:0
@@ -347,7 +351,7 @@
 key_file = %s
 [tls]
 %s
-`, name, strings.Join(entries, ","), upstream, f.slotsLine(name), keyFile, f.tls(certs, tlsconf.GuardCert, tlsconf.GuardKey))
+`, name, f.region, strings.Join(entries, ","), upstream, f.service, f.slotsLine(name), keyFile, f.tls(certs, tlsconf.GuardCert, tlsconf.GuardKey))
 	return f.start("wigeontray-guard", "--config", f.file(name+".ini", ini))
 }
 
--- a/internal/e2e/traces_test.go
+++ b/internal/e2e/traces_test.go
@@ -187,6 +187,7 @@
 
 // reply is the part of an answer that a trace speaks of.
 type reply struct {
+	status  int
 	State   string
 	Results []struct{ Body struct{ Task string } }
 	Error   struct{ Kind, Ran, Advice string }
@@ -230,21 +231,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.call(http.MethodPost, e.url()+"/v1/jobs", j.key, bytes.NewReader(b))
+	return p.call(token, http.MethodPost, e.url()+"/v1/jobs", j.key, bytes.NewReader(b))
 }
 
 // cancel withdraws a job; what its caller is told is judged at the submission.
 func (p *player) cancel(ev *replay.Event) {
 	url := p.entries[ev.Other].url() + "/v1/jobs/" + p.jobs[ev.Target].key
 	p.calls.Go(func() {
-		if _, err := p.call(http.MethodDelete, url, "", nil); err != nil {
+		if _, err := p.call(token, http.MethodDelete, url, "", nil); err != nil {
 			p.t.Errorf("cancel of %s: %v", ev.Target, err)
 		}
 	})
 }
 
-func (p *player) call(method, url, key string, body io.Reader) (*reply, error) {
-	req, err := http.NewRequestWithContext(p.t.Context(), method, url, body)
+// call makes one call of a member, and does not repeat it.
+func (f *fleet) call(token, method, url, key string, body io.Reader) (*reply, error) {
+	req, err := http.NewRequestWithContext(f.t.Context(), method, url, body)
 	if err != nil {
 		return nil, err
 	}
@@ -258,7 +260,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	r := new(reply)
+	r := &reply{status: resp.StatusCode}
 	return r, json.NewDecoder(resp.Body).Decode(r)
 }
 
