e2e: an amendment whose answer is lost, from the operators' command to the store

Cause: lost answers were tried against packages; no test ran `wigeontray record put` against an entry whose store loses one.

Ruled out: arming the stand-in's LoseAnswers before the command. An entry's own write of its roster may come first and take the fault, and the test would then prove nothing; the front arms it as the record's write passes, and the entry's counter of recovered amendments is checked.

--- a/internal/e2e/regions_test.go
+++ b/internal/e2e/regions_test.go
@@ -1,7 +1,10 @@
 package e2e
 
 import (
+	"bytes"
+	"encoding/base64"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,13 +16,17 @@
 
 	"wigeontray/internal/record"
 	"wigeontray/internal/sample"
+	"wigeontray/internal/store/etcdjson"
 )
 
 // front stands between some entries and the store, and can cut them off alone.
 type front struct {
 	*httptest.Server
-	store   http.Handler
-	down    atomic.Bool
+	store http.Handler
+	down  atomic.Bool
+	// onWrite runs once, just before the next write of service ayni/reserva
+	// reaches the store. Other writes pass: entries make some at any time.
+	onWrite atomic.Pointer[func()]
 	refused atomic.Int64
 }
 
@@ -46,9 +53,27 @@
 		fr.refused.Add(1)
 		panic(http.ErrAbortHandler)
 	}
+	if r.URL.Path == etcdjson.PathTxn {
+		fr.beforeWrite(r)
+	}
 	fr.store.ServeHTTP(w, r)
 }
 
+func (fr *front) beforeWrite(r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	key := base64.StdEncoding.EncodeToString([]byte(record.Key(record.KindService, "ayni/reserva")))
+	if !bytes.Contains(body, []byte(key)) {
+		return
+	}
+	if hook := fr.onWrite.Swap(nil); hook != nil {
+		(*hook)()
+	}
+}
+
 // another is a second region over the same store, reached through a front.
 func (f *fleet) another(region, service string, fr *front) *fleet {
 	g := *f
