wire: an idle link holds one goroutine and 2 KiB of buffers

Cause: an entry held 51 KB for each guard's link, 41 MB with the 410 guards of a region: the goroutine of net/http with the request and its deep stack, a writer that waits, and two buffers of 4 KiB.

Change: the handler returns after the upgrade and a goroutine of its own reads the link; a writer runs only while there are frames to write; an accepted link has buffers of 1 KiB. [limits] memory_bytes is a soft limit on the memory of either process, refused below 16 MiB, as a process whose data exceed it would collect garbage without end. Its default for entries is none: their job records may take hundreds of MB.

TestOutboxKeepsOrderAndLimit now also holds that one writer at a time is started, in place of the channel that told the one writer.

--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -22,14 +22,16 @@
 	hello *wire.Hello
 }
 
-// serveGuard handles a guard's link from its upgrade to its end.
+// serveGuard upgrades a guard's request. The link is served by a goroutine of
+// its own, so that the request, its buffers and its deep stack are not held for
+// as long as the guard lives.
 func (s *Server) serveGuard(w http.ResponseWriter, r *http.Request) {
 	link, err := wire.Accept(w, r, s.traffic)
 	if err != nil {
 		s.metrics.Inc(telemetry.LinksRefused)
 		return
 	}
-	s.ServeGuardLink(s.ctx, link)
+	go s.ServeGuardLink(s.ctx, link)
 }
 
 // ServeGuardLink handles an established link to a guard and returns when it
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet key: %w", err)
 	}
+	limitMemory(set.Limits.Memory)
 	e := &Entry{set: set, log: logger, metrics: telemetry.New(), fenced: make(chan struct{})}
 	registry := e.metrics.GoMetrics()
 	kv := store.NewEtcd(store.Options{
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -20,6 +20,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(set.Limits.Memory)
 	g, err := guard.New(*o)
 	if err != nil {
 		return err
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -175,6 +175,17 @@
 	}
 }
 
+// NoMemoryLimit leaves the memory of a process to the collector.
+const NoMemoryLimit = 1 << 40
+
+// memory is checked for a least value, as a process whose data exceed its limit
+// collects garbage without end: it would answer at half speed, and nothing but
+// its processor time would show it.
+func memory[T any](at func(*T) *int64) field[T] {
+	return integer("limits", "memory_bytes", "bytes", NoMemoryLimit, 16*mib, NoMemoryLimit,
+		"Soft limit on the memory of the process. Below it the heap may grow to twice its live data (GOGC, 100 unless set in the environment); near it garbage is collected more often. Set it well above the live data, or the processor time goes to the collector. The default is no limit.", at)
+}
+
 func headerTimeout[T any](at func(*T) *time.Duration) field[T] {
 	return millis("limits", "header_timeout_ms", 5000, 100, 60_000, "Time in which a client must have sent its request's header.", at)
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -58,6 +58,7 @@
 	Retention     time.Duration // of a finished job's record
 	AnswerBytes   int64         // held answers, all together
 	Records       int64         // job records held
+	Memory        int64         // bytes of the process, a soft limit
 	DrainTimeout  time.Duration
 }
 
@@ -88,6 +89,7 @@
 		millis("limits", "retention_ms", 600_000, 1000, 86_400_000, "Time for which a finished job is remembered, so that a resubmission gets its answer.", func(e *Entry) *time.Duration { return &e.Limits.Retention }),
 		integer("limits", "answer_bytes", "bytes", 64*mib, mib, 16<<30, "Memory for answers of finished jobs. The oldest go first; the jobs stay known.", func(e *Entry) *int64 { return &e.Limits.AnswerBytes }),
 		integer("limits", "records", "jobs", 1_000_000, 1000, 100_000_000, "Most jobs remembered at once.", func(e *Entry) *int64 { return &e.Limits.Records }),
+		memory(func(e *Entry) *int64 { return &e.Limits.Memory }),
 		millis("limits", "drain_timeout_ms", 30_000, 0, 600_000, "Longest time that a planned stop waits for requests in flight.", func(e *Entry) *time.Duration { return &e.Limits.DrainTimeout }),
 	},
 	logFields(func(e *Entry) *Log { return &e.Log }),
--- a/internal/settings/guard.go
+++ b/internal/settings/guard.go
@@ -41,6 +41,7 @@
 	AnswerBytes   int64         // one answer of the upstream
 	HeldBytes     int64         // results held for collection, all together
 	Retention     time.Duration // of a start
+	Memory        int64         // bytes of the process, a soft limit
 	DrainTimeout  time.Duration
 }
 
@@ -68,6 +69,7 @@
 		integer("limits", "answer_bytes", "bytes", 4*mib, kib, 4*mib, "Largest answer of the upstream to one task.", func(g *Guard) *int64 { return &g.Limits.AnswerBytes }),
 		integer("limits", "held_bytes", "bytes", 8*mib, mib, 1<<30, "Memory for results that an entry may still collect.", func(g *Guard) *int64 { return &g.Limits.HeldBytes }),
 		millis("limits", "retention_ms", 900_000, 1000, 86_400_000, "Time for which a start is remembered. It must exceed the entries' `retention_ms`.", func(g *Guard) *time.Duration { return &g.Limits.Retention }),
+		memory(func(g *Guard) *int64 { return &g.Limits.Memory }),
 		millis("limits", "drain_timeout_ms", 30_000, 0, 600_000, "Longest time that a planned stop waits for tasks in flight.", func(g *Guard) *time.Duration { return &g.Limits.DrainTimeout }),
 	},
 	logFields(func(g *Guard) *Log { return &g.Log }),
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -66,7 +66,6 @@
 	conn.SetReadLimit(MaxFrame)
 	l.conn = conn
 	l.live.start(l.check)
-	go l.write()
 	return l
 }
 
@@ -82,11 +81,15 @@
 		return net.ErrClosed
 	default:
 	}
-	if err := l.out.add(b); err != nil {
+	start, err := l.out.add(b)
+	if err != nil {
 		l.Close("slow peer")
 		return ErrSlowPeer
 	}
 	l.live.sent()
+	if start {
+		go l.write()
+	}
 	return nil
 }
 
@@ -131,18 +134,13 @@
 	})
 }
 
-// write moves queued frames to the socket.
+// write moves queued frames to the socket and ends when none is left: an entry
+// has hundreds of links, most of them idle, and a waiting goroutine for each
+// would hold its stack.
 func (l *socketLink) write() {
-	var batch [][]byte
-	for {
-		select {
-		case <-l.out.ready:
-			batch = l.out.take(batch)
-			if err := l.putAll(batch); err != nil {
-				l.Close("write failed")
-				return
-			}
-		case <-l.done:
+	for batch := l.out.take(nil); len(batch) > 0; batch = l.out.take(batch) {
+		if err := l.putAll(batch); err != nil {
+			l.Close("write failed")
 			return
 		}
 	}
@@ -228,10 +226,11 @@
 	return l.begin(conn), nil
 }
 
-// Accept upgrades an HTTP request to a link.
+// Accept upgrades an HTTP request to a link. The handler may return before the
+// link ends, which frees what net/http holds for the request.
 func Accept(w http.ResponseWriter, r *http.Request, traffic *Traffic) (Link, error) {
 	l := newLink(false, traffic)
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+	conn, err := websocket.Accept(&smallBuffers{w}, r, &websocket.AcceptOptions{
 		CompressionMode: websocket.CompressionDisabled,
 		OnPingReceived:  l.heard,
 	})
--- a/internal/wire/outbox.go
+++ b/internal/wire/outbox.go
@@ -17,33 +17,31 @@
 type outbox struct {
 	mu     sync.Mutex
 	frames [][]byte
-	held   int           // frames that wait or were taken and are not yet sent
-	limit  int           // greatest number of held frames
-	ready  chan struct{} // holds a value while frames wait
+	held   int  // frames that wait or were taken and are not yet sent
+	limit  int  // greatest number of held frames
+	taking bool // a writer runs; it ends when take gives nothing
 }
 
-func newOutbox(limit int) *outbox {
-	return &outbox{limit: limit, ready: make(chan struct{}, 1)}
-}
+func newOutbox(limit int) *outbox { return &outbox{limit: limit} }
 
-// add appends a frame, or fails with errFull.
-func (o *outbox) add(frame []byte) error {
+// add appends a frame, or fails with errFull. It tells whether a writer has to
+// be started: one at a time, as two would mix up the order.
+func (o *outbox) add(frame []byte) (start bool, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.held >= o.limit {
-		return errFull
+		return false, errFull
 	}
 	o.held++
 	o.frames = append(o.frames, frame)
-	select {
-	case o.ready <- struct{}{}:
-	default: // the reader has been told already
-	}
-	return nil
+	start = !o.taking
+	o.taking = true
+	return start, nil
 }
 
-// take gives all waiting frames, in order. spare is a slice of an earlier take
-// that is no longer needed; its places are used again unless they are many.
+// take gives all waiting frames, in order. After none the writer has to end.
+// spare is a slice of an earlier take that is no longer needed; its places are
+// used again unless they are many.
 func (o *outbox) take(spare [][]byte) [][]byte {
 	if cap(spare) > keptFrames {
 		spare = nil
@@ -53,6 +51,7 @@
 	defer o.mu.Unlock()
 	out := o.frames
 	o.frames = spare[:0]
+	o.taking = len(out) > 0
 	return out
 }
 
--- a/internal/wire/outbox_test.go
+++ b/internal/wire/outbox_test.go
@@ -10,19 +10,34 @@
 	c := qt.New(t)
 	o := newOutbox(3)
 	frame := func(b byte) []byte { return []byte{b} }
-	c.Assert(o.add(frame(1)), qt.IsNil)
-	c.Assert(o.add(frame(2)), qt.IsNil)
-	<-o.ready
+	add := func(b byte) (bool, error) { return o.add(frame(b)) }
+	start, err := add(1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(start, qt.IsTrue)
+	start, err = add(2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(start, qt.IsFalse) // a second writer would mix up the order
 	first := o.take(nil)
 	c.Assert(first, qt.DeepEquals, [][]byte{{1}, {2}})
 	// What was taken and is not on the socket counts against the limit: a peer
 	// that does not read would otherwise hold twice as much.
-	c.Assert(o.add(frame(3)), qt.IsNil)
-	c.Assert(o.add(frame(4)), qt.Equals, errFull)
+	start, err = add(3)
+	c.Assert(err, qt.IsNil)
+	c.Assert(start, qt.IsFalse)
+	_, err = add(4)
+	c.Assert(err, qt.Equals, errFull)
 	o.sent()
-	c.Assert(o.add(frame(4)), qt.IsNil)
-	<-o.ready
-	c.Assert(o.take(first), qt.DeepEquals, [][]byte{{3}, {4}})
+	_, err = add(4)
+	c.Assert(err, qt.IsNil)
+	second := o.take(first)
+	c.Assert(second, qt.DeepEquals, [][]byte{{3}, {4}})
+	c.Assert(o.take(second), qt.HasLen, 0)
+	for range 3 {
+		o.sent()
+	}
+	start, err = add(5)
+	c.Assert(err, qt.IsNil)
+	c.Assert(start, qt.IsTrue)
 }
 
 // A burst passes over a link. The places that it took are given back: kept,
@@ -31,7 +46,8 @@
 	c := qt.New(t)
 	o := newOutbox(1 << 10)
 	for range 1 << 10 {
-		c.Assert(o.add(nil), qt.IsNil)
+		_, err := o.add(nil)
+		c.Assert(err, qt.IsNil)
 	}
 	burst := o.take(nil)
 	o.take(burst)
