entry: a change of the configuration goes to eight guards and to those it concerns

Ruled out: leaving the sealed part out of what the other guards get. A guard would then hold two revisions and would have to acknowledge and offer them apart; that needs new fields on the wire, and matters only for changes of the guards' own service.

Change: eight guards, chosen by rendezvous hashing of guard and entry, get each change; when one goes, the next takes its place and gets what it lacks. Other guards get one only when their own service's record changed, and on linking. guards_behind counts guards that have not confirmed what they were sent.

A change of a service that all guards serve still costs as much as before.

--- a/bench/site_test.go
+++ b/bench/site_test.go
@@ -33,10 +33,12 @@
 	dir                   string
 	store                 string // base URL
 	callers, inner, admin string
+	configKey             string // file
 	token                 string
 	entry                 *process
 	bin                   string
 	storeCalls            atomic.Int64 // requests to the store so far
+	serviceRevision       int64        // of the service's record
 }
 
 // newSite starts an entry with one member and one service.
@@ -58,6 +60,7 @@
 	}
 	s.store, s.token = server.URL, token.Secret
 	s.putRecords(b, token.Hash)
+	s.configKey = s.write(b, "config.key", "the key of all entries\n")
 	s.entry = start(b, filepath.Join(s.bin, "wigeontray"), "serve", "--config", s.write(b, "entry.ini", s.entrySettings()))
 	awaitFigure(b, s.admin, "wigeontray_ready", 1)
 	return s
@@ -66,14 +69,16 @@
 func (s *site) putRecords(b *testing.B, hash string) {
 	b.Helper()
 	kv := store.NewEtcd(store.Options{Endpoints: []string{s.store}, Timeout: time.Second})
-	put := func(kind record.Kind, name, value string) {
-		if _, err := kv.Put(context.Background(), record.Key(kind, name), []byte(value), 0, 0); err != nil {
+	put := func(kind record.Kind, name, value string) int64 {
+		revision, err := kv.Put(context.Background(), record.Key(kind, name), []byte(value), 0, 0)
+		if err != nil {
 			b.Fatal(err)
 		}
+		return revision
 	}
 	put(record.KindMember, member, fmt.Sprintf(`{"kind":"member","name":%q,"schema":1,"token_sha256":[%q]}`, member, hash))
 	name := member + "/" + service
-	put(record.KindService, name, fmt.Sprintf(`{"kind":"service","name":%q,"schema":2}`, name))
+	s.serviceRevision = put(record.KindService, name, fmt.Sprintf(`{"kind":"service","name":%q,"schema":2}`, name))
 }
 
 func (s *site) write(b *testing.B, name, text string) string {
@@ -96,7 +101,9 @@
 admin = %s
 [store]
 endpoints = %s
-`, s.callers, s.inner, s.admin, s.store)
+[fleet]
+config_key_file = %s
+`, s.callers, s.inner, s.admin, s.store, s.configKey)
 }
 
 // guard starts a guard beside the upstream and waits until the entry has it.
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -29,8 +29,12 @@
 func (c *SyncedConfig) ForPeers() *wire.Config { return frame(c.sync.Encoded()) }
 
 // ForGuard implements Config.
-func (c *SyncedConfig) ForGuard(service string) *wire.Config {
-	return frame(c.sync.EncodedFor(service))
+func (c *SyncedConfig) ForGuard(service string) (*wire.Config, []byte) {
+	f := frame(c.sync.EncodedFor(service))
+	if f == nil {
+		return nil, nil
+	}
+	return f, record.OwnRecord(f.Snapshot)
 }
 
 // frame gives the message for a snapshot; nil where there is none. A snapshot
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,8 +36,9 @@
 	Revision() int64
 	// ForPeers is the snapshot in force for other entries; nil before the first.
 	ForPeers() *wire.Config
-	// ForGuard is what a guard of a service gets; nil before the first.
-	ForGuard(service string) *wire.Config
+	// ForGuard is what a guard of a service gets, and the part of it that the
+	// guard reads, its service's record; nil before the first.
+	ForGuard(service string) (c *wire.Config, own []byte)
 	// FromPeer and FromGuard take what another process holds; what is not newer
 	// or not trustworthy is passed over and counted.
 	FromPeer(c *wire.Config)
@@ -111,12 +112,15 @@
 	// announceMu keeps a guard's return and the decision to give up on it apart.
 	// Lock order: announceMu, then the router's own, then those of links and lanes.
 	announceMu sync.Mutex
-	metrics    *telemetry.Registry
-	log        *log.Logger
-	traffic    *wire.Traffic
-	stopping   atomic.Bool // fresh jobs are refused
-	leaving    atomic.Bool // not ready, but still serving
-	waiters    atomic.Int64
+	// shareMu orders what guards are sent of the configuration, so that none is
+	// left out that links during a change. Lock order: shareMu, then links.
+	shareMu  sync.Mutex
+	metrics  *telemetry.Registry
+	log      *log.Logger
+	traffic  *wire.Traffic
+	stopping atomic.Bool // fresh jobs are refused
+	leaving  atomic.Bool // not ready, but still serving
+	waiters  atomic.Int64
 
 	ctx context.Context // ends with Close
 	end context.CancelFunc
@@ -192,11 +196,7 @@
 func (s *Server) configChanged() {
 	s.Reconfigure()
 	s.metrics.Inc(telemetry.ConfigsApplied)
-	s.eachLane(func(l *lane) {
-		if c := s.config.ForGuard(l.service); c != nil {
-			s.links.broadcast(l.service, &wire.Frame{Config: c})
-		}
-	})
+	s.shareChange()
 	if s.opts.OnConfig != nil {
 		s.opts.OnConfig()
 	}
@@ -239,7 +239,7 @@
 // Close ends all links. Jobs that are still open get no answer from here.
 func (s *Server) Close() {
 	s.end()
-	s.links.broadcast("", &wire.Frame{Goodbye: &wire.Goodbye{Reason: "entry stops"}})
+	s.links.broadcast(&wire.Frame{Goodbye: &wire.Goodbye{Reason: "entry stops"}})
 	s.links.close()
 	s.eachLane((*lane).close)
 }
--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -20,6 +20,9 @@
 type guardLink struct {
 	link  wire.Link
 	hello *wire.Hello
+
+	own         []byte // record of its service, as the guard has it; under Server.shareMu
+	owed, acked int64  // revisions sent and confirmed; under linkTable.mu
 }
 
 // serveGuard upgrades a guard's request. The link is served by a goroutine of
@@ -45,21 +48,20 @@
 		return
 	}
 	g := &guardLink{link: link, hello: hello}
-	// The lane is there before the link is listed, so that a change of the
-	// configuration, which goes out by lane, cannot miss the guard.
 	l := s.lane(hello.Service)
 	if !s.links.add(g) {
 		return
 	}
 	s.log.Info("guard up", "guard", hello.Incarnation, "service", hello.Service, "worker", hello.Worker, "slots", hello.Slots)
 	s.metrics.Inc(telemetry.LinksOpened)
-	s.shareConfig(g)
+	s.shareOnLink(g)
 	s.announce(g)
 	err = s.pump(ctx, l, g)
 	l.down(g)
 	s.metrics.Inc(telemetry.LinksLost)
 	if s.links.remove(g) {
 		s.router.GuardDown(hello.Incarnation)
+		s.shareOnLoss()
 		time.AfterFunc(forgetAfter, func() { s.forget(hello.Incarnation) })
 	}
 	s.log.Info("guard down", "guard", hello.Incarnation, "err", err)
@@ -168,7 +170,7 @@
 		case f.Config != nil:
 			s.config.FromGuard(f.Config)
 		case f.ConfigAck != nil:
-			s.links.acked(g, f.ConfigAck.Revision)
+			s.links.acknowledged(g, f.ConfigAck.Revision)
 		case f.FenceReport != nil, f.Collected != nil:
 			s.router.FromGuard(g.hello.Incarnation, f)
 		default:
@@ -176,11 +178,3 @@
 		}
 	}
 }
-
-// shareConfig sends the snapshot in force to a guard that has an older one. A
-// guard with a newer one sends its own, on seeing the revision in the Welcome.
-func (s *Server) shareConfig(g *guardLink) {
-	if c := s.config.ForGuard(g.hello.Service); c != nil && c.Revision > g.hello.Revision {
-		_ = g.link.Send(&wire.Frame{Config: c})
-	}
-}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -22,12 +22,15 @@
 )
 
 // fixedConfig knows two members whose tokens are their names.
-type fixedConfig struct{ revision int64 }
+type fixedConfig struct {
+	revision int64
+	own      string // record of every service
+}
 
 func (c *fixedConfig) Revision() int64        { return c.revision }
 func (c *fixedConfig) ForPeers() *wire.Config { return nil }
-func (c *fixedConfig) ForGuard(string) *wire.Config {
-	return &wire.Config{Revision: c.revision, Snapshot: []byte("snapshot")}
+func (c *fixedConfig) ForGuard(string) (*wire.Config, []byte) {
+	return &wire.Config{Revision: c.revision, Snapshot: []byte("snapshot")}, []byte(c.own)
 }
 func (c *fixedConfig) FromPeer(*wire.Config)  {}
 func (c *fixedConfig) FromGuard(*wire.Config) {}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -7,18 +7,16 @@
 	"wigeontray/internal/wire"
 )
 
-// linkTable knows every guard's current link and the configuration revision
-// that the guard has confirmed.
+// linkTable knows every guard's current link.
 type linkTable struct {
 	mu     sync.Mutex
 	links  map[identity.Incarnation]*guardLink
-	revs   map[identity.Incarnation]int64
 	usable map[identity.Incarnation]bool // the router allowed starts; outlives a broken link
 	closed bool
 }
 
 func newLinkTable() *linkTable {
-	return &linkTable{links: make(map[identity.Incarnation]*guardLink), revs: make(map[identity.Incarnation]int64), usable: make(map[identity.Incarnation]bool)}
+	return &linkTable{links: make(map[identity.Incarnation]*guardLink), usable: make(map[identity.Incarnation]bool)}
 }
 
 // add puts g in the table; false after close.
@@ -29,7 +27,7 @@
 		return false
 	}
 	t.links[g.hello.Incarnation] = g
-	t.revs[g.hello.Incarnation] = g.hello.Revision
+	g.acked = g.hello.Revision
 	return true
 }
 
@@ -41,7 +39,6 @@
 		return false
 	}
 	delete(t.links, g.hello.Incarnation)
-	delete(t.revs, g.hello.Incarnation)
 	return true
 }
 
@@ -76,36 +73,12 @@
 	return true
 }
 
-func (t *linkTable) acked(g *guardLink, revision int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.links[g.hello.Incarnation] == g {
-		t.revs[g.hello.Incarnation] = max(t.revs[g.hello.Incarnation], revision)
-	}
-}
-
-// behind counts the guards that have not confirmed revision.
-func (t *linkTable) behind(revision int64) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, r := range t.revs {
-		if r < revision {
-			n++
-		}
-	}
-	return n
-}
-
-// broadcast queues f for every guard of a service, or for all if it is empty.
-// Sending never blocks.
-func (t *linkTable) broadcast(service string, f *wire.Frame) {
+// broadcast queues f for every guard. Sending never blocks.
+func (t *linkTable) broadcast(f *wire.Frame) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, g := range t.links {
-		if service == "" || g.hello.Service == service {
-			_ = g.link.Send(f)
-		}
+		_ = g.link.Send(f)
 	}
 }
 
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -69,7 +69,7 @@
 	held, open := s.registry.Count()
 	b := &statusBody{
 		Entry: s.id, Software: s.opts.Software, Ready: s.Ready(), Revision: revision,
-		Behind: s.links.behind(revision), Open: open, Held: held, Roster: s.router.Roster(),
+		Behind: s.links.behind(), Open: open, Held: held, Roster: s.router.Roster(),
 		Services: []serviceStatus{}, Refusals: make(map[string]int64),
 	}
 	s.eachLane(func(l *lane) { b.Services = append(b.Services, l.status()) })
--- a/internal/record/guard.go
+++ b/internal/record/guard.go
@@ -38,6 +38,18 @@
 	return b, nil
 }
 
+// OwnRecord gives the encoded record of the guard's own service in what
+// EncodeForGuard wrote; nil if there is none.
+func OwnRecord(b []byte) []byte {
+	var e struct {
+		Service cbor.RawMessage `cbor:"2,keyasint,omitempty"`
+	}
+	if err := decMode.Unmarshal(b, &e); err != nil {
+		return nil
+	}
+	return e.Service
+}
+
 // DecodeForGuard reads what EncodeForGuard wrote.
 func DecodeForGuard(b []byte) (*GuardConfig, error) {
 	var e encodedGuard
