wire: one write timer a link, reads without a context

Cause: each frame written made a context with a deadline, and each frame read at an entry hung on the server's context, under one lock for all links.

The reader of a guard's link waits under no context; Server.Close ends the links.

--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -56,7 +56,7 @@
 	s.metrics.Inc(telemetry.LinksOpened)
 	s.shareOnLink(g)
 	s.announce(g)
-	err = s.pump(ctx, l, g)
+	err = s.pump(l, g)
 	l.down(g)
 	s.metrics.Inc(telemetry.LinksLost)
 	if s.links.remove(g) {
@@ -157,10 +157,12 @@
 	return subtle.ConstantTimeCompare([]byte(key), []byte(s.opts.FleetKey)) == 1
 }
 
-// pump reads the link until it ends.
-func (s *Server) pump(ctx context.Context, l *lane, g *guardLink) error {
+// pump reads the link until it ends. It waits under no context that can end:
+// each frame would enter and leave the list of what hangs on it, under one lock
+// for all links. Server.Close ends the links themselves.
+func (s *Server) pump(l *lane, g *guardLink) error {
 	for {
-		f, err := g.link.Recv(ctx)
+		f, err := g.link.Recv(context.Background())
 		if err != nil {
 			return err
 		}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -47,6 +47,7 @@
 	conn    *websocket.Conn
 	out     *outbox
 	live    *liveness
+	stuck   *time.Timer // ends the link if a frame is too long on its way to the socket
 	done    chan struct{}
 	once    sync.Once
 	traffic *Traffic
@@ -66,6 +67,8 @@
 	conn.SetReadLimit(MaxFrame)
 	l.conn = conn
 	l.live.start(l.check)
+	l.stuck = time.AfterFunc(writeTimeout, l.drop)
+	l.stuck.Stop()
 	return l
 }
 
@@ -147,6 +150,7 @@
 }
 
 func (l *socketLink) putAll(frames [][]byte) error {
+	defer l.stuck.Stop()
 	for _, b := range frames {
 		if err := l.put(b); err != nil {
 			return err
@@ -156,10 +160,11 @@
 	return nil
 }
 
+// put writes one frame. One timer serves all frames of the link: a context with
+// a deadline for each costs more than the rest of the write but its system call.
 func (l *socketLink) put(b []byte) error {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-	defer cancel()
-	if err := l.conn.Write(ctx, websocket.MessageBinary, b); err != nil {
+	l.stuck.Reset(writeTimeout)
+	if err := l.conn.Write(context.Background(), websocket.MessageBinary, b); err != nil {
 		return fmt.Errorf("write link: %w", err)
 	}
 	l.traffic.FramesOut.Add(1)
