wire: links have no TCP keep-alive

Cause: with pings every 30 s the kernels of both ends probed each idle link after 15 s of silence, which net and net/http switch on. The probes made more segments than the pings, and a frozen process's kernel answers them.

--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -27,7 +27,7 @@
 func newFleet(t *Target) *fleet {
 	f := &fleet{target: t, meter: newMeter()}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		var d net.Dialer
+		d := net.Dialer{KeepAlive: -1} // as wire.NewClient
 		c, err := d.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
--- a/internal/guard/links.go
+++ b/internal/guard/links.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"wigeontray/internal/identity"
@@ -249,7 +248,7 @@
 	if tlsConfig != nil {
 		scheme = "wss"
 	}
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig}}
+	client := wire.NewClient(tlsConfig)
 	return func(ctx context.Context, addr string) (wire.Link, error) {
 		return dialSocket(ctx, scheme+"://"+addr+wire.GuardPath, client)
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -175,11 +175,11 @@
 
 // dialPeer opens links to other entries, with TLS if it is configured.
 func dialPeer(conf *tls.Config, traffic *wire.Traffic) func(context.Context, wire.EntryAddr) (wire.Link, error) {
-	scheme, transport := "ws", &http.Transport{}
+	scheme := "ws"
 	if conf != nil {
-		scheme, transport = "wss", &http.Transport{TLSClientConfig: conf}
+		scheme = "wss"
 	}
-	client := &http.Client{Transport: transport}
+	client := wire.NewClient(conf)
 	return func(ctx context.Context, to wire.EntryAddr) (wire.Link, error) {
 		return wire.Dial(ctx, scheme+"://"+to.Inner+wire.PeerPath, client, traffic)
 	}
--- a/internal/wire/buffers.go
+++ b/internal/wire/buffers.go
@@ -26,6 +26,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("take over connection: %w", err)
 	}
+	withoutKeepAlive(conn)
 	early, err := rw.Reader.Peek(rw.Reader.Buffered())
 	if err != nil {
 		return nil, nil, fmt.Errorf("take over connection: %w", err)
