wire: frames are read into buffers that are used again

Cause: each frame was read into fresh memory, 512 bytes at least, and then copied by the decoder.

TestDecodedFrameOutlivesItsBuffer holds the decoder to copying what it keeps.

--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -41,3 +41,15 @@
 		}
 	})
 }
+
+// Links decode from a buffer that the next frame overwrites. If a frame pointed
+// into it, a caller could be given the answer to the request of another.
+func TestDecodedFrameOutlivesItsBuffer(t *testing.T) {
+	f := &Frame{Result: &Result{Ref: Ref{Member: "ayni", Key: "key"}, Body: []byte("answer")}}
+	b, err := Encode(f)
+	qt.Assert(t, err, qt.IsNil)
+	got, err := Decode(b)
+	qt.Assert(t, err, qt.IsNil)
+	clear(b)
+	qt.Assert(t, got, qt.DeepEquals, f)
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -97,7 +98,9 @@
 }
 
 func (l *socketLink) Recv(ctx context.Context) (*Frame, error) {
-	kind, b, err := l.conn.Read(ctx)
+	buf := readBuffers.Get().(*bytes.Buffer)
+	defer keepBuffer(buf)
+	kind, err := l.read(ctx, buf)
 	if err != nil {
 		l.Close("read failed")
 		return nil, fmt.Errorf("read link: %w", err)
@@ -108,8 +111,8 @@
 	}
 	l.live.received()
 	l.traffic.FramesIn.Add(1)
-	l.traffic.BytesIn.Add(int64(len(b)))
-	f, err := Decode(b)
+	l.traffic.BytesIn.Add(int64(buf.Len()))
+	f, err := Decode(buf.Bytes())
 	if err != nil {
 		l.Close("malformed frame")
 		return nil, err
@@ -117,6 +120,28 @@
 	return f, nil
 }
 
+func (l *socketLink) read(ctx context.Context, into *bytes.Buffer) (websocket.MessageType, error) {
+	kind, r, err := l.conn.Reader(ctx)
+	if err == nil {
+		_, err = into.ReadFrom(r)
+	}
+	return kind, err
+}
+
+// readBuffers hold a frame until it is decoded; decoding copies what it keeps.
+var readBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// keptBuffer is the largest buffer that is used again, in bytes. One long frame
+// would otherwise hold its memory for good.
+const keptBuffer = 64 << 10
+
+func keepBuffer(b *bytes.Buffer) {
+	if b.Cap() <= keptBuffer {
+		b.Reset()
+		readBuffers.Put(b)
+	}
+}
+
 func (l *socketLink) Close(reason string) {
 	l.end(func() { _ = l.conn.Close(websocket.StatusNormalClosure, reason) })
 }
