--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -62,6 +62,8 @@
 	known map[identity.Incarnation]bool
 	more  atomic.Pointer[wire.EntryAddr] // another entry, if set
 	hold  chan struct{}                  // delays readiness until it is closed, if set
+	peer  *Server                        // serves what is forwarded, if set
+	heard []*wire.Frame                  // of guards
 }
 
 func (r *soleRouter) MayStart(string, identity.Key) *errkind.Error { return nil }
@@ -87,7 +89,10 @@
 	}
 	return r.id, nil
 }
-func (r *soleRouter) Forward(context.Context, identity.Incarnation, *wire.Forward) (*wire.Forwarded, error) {
+func (r *soleRouter) Forward(ctx context.Context, _ identity.Incarnation, f *wire.Forward) (*wire.Forwarded, error) {
+	if r.peer != nil {
+		return r.peer.ServeForward(ctx, f), nil
+	}
 	return nil, errkind.New(errkind.HomeUnreachable, "no peers")
 }
 func (r *soleRouter) Recover(context.Context, identity.Incarnation, string, identity.Key) *Recovered {
@@ -100,7 +105,7 @@
 	}
 	return list
 }
-func (r *soleRouter) FromGuard(identity.Incarnation, *wire.Frame) {}
+func (r *soleRouter) FromGuard(_ identity.Incarnation, f *wire.Frame) { r.heard = append(r.heard, f) }
 
 // bench is one entry with guards that the test plays.
 type bench struct {
@@ -112,13 +117,18 @@
 	handler http.Handler
 }
 
-func newBench(t testing.TB) *bench {
-	const id = "entry-a-000001"
+// benchRequests is how many requests a member may have open at a bench's entry.
+const benchRequests = 4
+
+func newBench(t testing.TB) *bench { return newBenchOf(t, "entry-a-000001") }
+
+func newBenchOf(t testing.TB, id identity.Incarnation) *bench {
 	router := &soleRouter{id: id, known: make(map[identity.Incarnation]bool)}
 	config := &fixedConfig{revision: 7}
 	s := New(Options{
 		ID: id, Config: config, Router: router,
 		Metrics: telemetry.New(), Log: log.New(io.Discard), FleetKey: "fleet",
+		OpenRequests: benchRequests,
 	})
 	router.ready = s.GuardReady
 	t.Cleanup(s.Close)
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -1,148 +1,91 @@
 package entry
 
 import (
-	"bytes"
-	"cmp"
-	"hash/fnv"
-	"io"
-	"slices"
+	"net/http"
+	"sync"
+	"time"
 
-	"wigeontray/internal/identity"
-	"wigeontray/internal/wire"
+	"wigeontray/internal/errkind"
 )
 
-// holders is how many guards keep the whole configuration up to date for one
-// entry. It is enough that an entry which starts while the store is down finds
-// one. Eight lie in several failure domains, so that they hardly go together,
-// and a change to all hundreds of guards would cost more than all else that an
-// entry sends for control.
-const holders = 8
-
-// shareOnLink sends the configuration in force to a guard that has an older one.
-// A guard with a newer one sends its own, on seeing the revision in the Welcome.
-func (s *Server) shareOnLink(g *guardLink) {
-	s.shareMu.Lock()
-	defer s.shareMu.Unlock()
-	c, own := s.config.ForGuard(g.hello.Service)
-	if c != nil && c.Revision > g.hello.Revision {
-		s.links.share(g, c)
-	}
-	g.own = own
+// share is what one member's open requests hold of an entry. Connections and
+// memory are common to all members: without a bound on each, one member's flood
+// of waiting requests takes them, and the callers of a rival wait in the listen
+// queue or the process is ended for its memory.
+type share struct {
+	mu       sync.Mutex
+	requests int
+	bytes    int64 // of bodies
 }
 
-// shareChange sends a changed configuration to the holders, and to the guards
-// whose own service's record has changed. Others learn of the revision when
-// something of theirs changes, and owe no acknowledgement of it.
-func (s *Server) shareChange() {
-	s.shareMu.Lock()
-	defer s.shareMu.Unlock()
-	linked := s.links.linked()
-	holding := s.holding(linked)
-	byService := make(map[string][]*guardLink)
-	for _, g := range linked {
-		byService[g.hello.Service] = append(byService[g.hello.Service], g)
-	}
-	for service, guards := range byService {
-		c, own := s.config.ForGuard(service)
-		if c == nil {
-			continue
-		}
-		for _, g := range guards {
-			if holding[g] || !bytes.Equal(g.own, own) {
-				s.links.share(g, c)
-				g.own = own
-			}
-		}
-	}
-}
-
-// shareOnLoss gives the configuration to the guards that take the places of
-// holders that went. Without it, the copies of a revision would go one by one.
-func (s *Server) shareOnLoss() {
-	s.shareMu.Lock()
-	defer s.shareMu.Unlock()
-	for g := range s.holding(s.links.linked()) {
-		if s.links.held(g) >= s.config.Revision() {
-			continue
-		}
-		if c, own := s.config.ForGuard(g.hello.Service); c != nil {
-			s.links.share(g, c)
-			g.own = own
-		}
-	}
-}
+// retryShare is when a request that was over its member's share may come back.
+const retryShare = time.Second
 
-// holding chooses the holders among the linked guards, by rendezvous hashing:
-// when one goes or comes, the others stay, and each entry has others.
-func (s *Server) holding(linked []*guardLink) map[*guardLink]bool {
-	slices.SortFunc(linked, func(a, b *guardLink) int {
-		return cmp.Compare(s.rank(b.hello.Incarnation), s.rank(a.hello.Incarnation))
-	})
-	out := make(map[*guardLink]bool, holders)
-	for _, g := range linked[:min(holders, len(linked))] {
-		out[g] = true
+// take claims a request with its body; false if the member's share is used up.
+// The first body is let in whatever its size, or none of that size ever would be.
+func (h *share) take(bytes int64, maxRequests int, maxBytes int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.requests >= maxRequests || h.bytes > 0 && h.bytes+bytes > maxBytes {
+		return false
 	}
-	return out
+	h.requests++
+	h.bytes += bytes
+	return true
 }
 
-// rank is a guard's place for this entry; the highest are holders.
-func (s *Server) rank(g identity.Incarnation) uint64 {
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, string(s.id)) // a hash takes all
-	_, _ = io.WriteString(h, "/"+string(g))
-	return scramble(h.Sum64())
+func (h *share) release(bytes int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.requests--
+	h.bytes -= bytes
 }
 
-// scramble spreads a hash over all bits: names that differ in their last letter
-// only have FNV hashes that differ in few.
-func scramble(x uint64) uint64 {
-	x = (x ^ x>>33) * 0xff51afd7ed558ccd
-	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
+// shares holds a share for each member. Members are authenticated, so callers
+// cannot fill the table with names.
+type shares struct{ byMember sync.Map }
 
-// share queues c for g, which then owes its acknowledgement.
-func (t *linkTable) share(g *guardLink, c *wire.Config) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.links[g.hello.Incarnation] == g && g.link.Send(&wire.Frame{Config: c}) == nil {
-		g.owed = c.Revision
+func (t *shares) of(member string) *share {
+	if h, ok := t.byMember.Load(member); ok {
+		return h.(*share)
 	}
+	h, _ := t.byMember.LoadOrStore(member, new(share))
+	return h.(*share)
 }
 
-// held is the newest revision that g has confirmed or was sent.
-func (t *linkTable) held(g *guardLink) int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return max(g.owed, g.acked)
+// claim takes a request's part of its member's share until release is called.
+func (s *Server) claim(member string, r *http.Request) (release func(), err *errkind.Error) {
+	bytes := min(r.ContentLength, s.opts.MaxBody)
+	if bytes < 0 {
+		bytes = s.opts.MaxBody // its length is not told
+	}
+	h := s.open.of(member)
+	if !h.take(bytes, s.opts.OpenRequests, s.opts.OpenBytes) {
+		return nil, errkind.New(errkind.TooManyJobs, "the open requests of %s exceed %d, or their bodies %d bytes, at this entry",
+			member, s.opts.OpenRequests, s.opts.OpenBytes).WithAfter(retryShare)
+	}
+	return func() { h.release(bytes) }, nil
 }
 
-func (t *linkTable) acknowledged(g *guardLink, revision int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	g.acked = max(g.acked, revision)
-}
+// maxAmendments is how many amendments of one member may be under way at an
+// entry. Each takes calls of the store, whose rate the entry bounds for all: a
+// member that amends in a loop would hold up the renewal of the entry's lease,
+// and the others would declare the entry gone.
+const maxAmendments = 4
 
-// behind counts the linked guards that have not confirmed what they were sent.
-func (t *linkTable) behind() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, g := range t.links {
-		if g.acked < g.owed {
-			n++
-		}
+// serveRecords serves the record API within the member's share. A request of no
+// member is the consortium's operator's, or is refused there.
+func (s *Server) serveRecords(w http.ResponseWriter, r *http.Request) {
+	member, err := s.Authenticate(r)
+	if err != nil || r.Method == http.MethodGet || r.Method == http.MethodHead {
+		s.opts.Records.ServeHTTP(w, r)
+		return
 	}
-	return n
-}
-
-// linked lists the links in place.
-func (t *linkTable) linked() []*guardLink {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make([]*guardLink, 0, len(t.links))
-	for _, g := range t.links {
-		out = append(out, g)
+	h := s.amending.of(member)
+	if !h.take(0, maxAmendments, 0) {
+		s.refuse(w, "", errkind.New(errkind.TooManyJobs, "more than %d amendments of %s are under way", maxAmendments, member).WithAfter(retryShare))
+		return
 	}
-	return out
+	defer h.release(0)
+	s.opts.Records.ServeHTTP(w, r)
 }
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -1,212 +1,97 @@
 package entry
 
 import (
-	"context"
-	"fmt"
-	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 
-	"wigeontray/internal/confsync"
-	"wigeontray/internal/identity"
-	"wigeontray/internal/record"
-	"wigeontray/internal/store"
-	"wigeontray/internal/store/standin"
-	"wigeontray/internal/telemetry"
-	"wigeontray/internal/wire"
-	"wigeontray/internal/wire/wiretest"
+	"wigeontray/internal/errkind"
 )
 
-// many is a number of guards well above holders.
-const many = 3 * holders
-
-// reconfigure puts a configuration in force at the entry and lets it go out.
-func (b *bench) reconfigure(c fixedConfig) {
-	*b.config = c
-	b.s.configChanged()
-	synctest.Wait()
-}
-
-// fleet links many guards and reads what they are sent on linking.
-func (b *bench) fleet() []*wiretest.End {
-	out := make([]*wiretest.End, many)
-	for i := range out {
-		out[i] = b.guard(fmt.Sprintf("guard-%d", i), 8)
-		b.Assert(b.received(out[i]), qt.Equals, int64(7))
-	}
-	return out
-}
-
-// received reads the next frame and acknowledges the configuration in it; 0 if
-// nothing waits.
-func (b *bench) received(l *wiretest.End) int64 {
-	b.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
-	defer cancel()
-	f, err := l.Recv(ctx)
-	if err != nil {
-		return 0
-	}
-	b.Assert(f.Config, qt.IsNotNil)
-	b.Assert(l.Send(&wire.Frame{ConfigAck: &wire.ConfigAck{Revision: f.Config.Revision}}), qt.IsNil)
-	synctest.Wait()
-	return f.Config.Revision
-}
-
-// holding lists the guards that were sent a revision.
-func (b *bench) holding(guards []*wiretest.End, revision int64) []int {
-	b.t.Helper()
-	var out []int
-	for i, g := range guards {
-		if r := b.received(g); r != 0 {
-			b.Assert(r, qt.Equals, revision)
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
-// A change that concerns no guard goes to the few that keep the configuration.
-// Were it sent to all, most of what an entry sends would be copies of it.
-func TestChangeGoesToAFewGuards(t *testing.T) {
+// A fault in one member's kiosks has them ask over and over and wait. Without a
+// bound they would take every connection of the entry, and the rival's Race
+// Officer would wait for his gust brief until they give up.
+func TestFloodOfOneMember(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		guards := b.fleet()
-		b.Assert(b.s.status().Behind, qt.Equals, 0)
-		b.reconfigure(fixedConfig{revision: 8})
-		b.Assert(b.s.status().Behind, qt.Equals, holders)
-		first := b.holding(guards, 8)
-		b.Assert(first, qt.HasLen, holders)
-		b.Assert(b.s.status().Behind, qt.Equals, 0)
-		b.reconfigure(fixedConfig{revision: 9})
-		b.Assert(b.holding(guards, 9), qt.DeepEquals, first)
+		g := b.guard("guard-1", 8)
+		rival := b.guardOf("leeuwin/clubcast", "guard-2", "fleet", 8)
+		key := b.ticket()
+		first := b.post("ayni", key, booking)
+		st := b.next(g).Start
+		for range benchRequests - 1 {
+			b.post("ayni", key, booking)
+		}
+		for range 100 {
+			refusal := b.refused(<-b.post("ayni", b.ticket(), booking), errkind.TooManyJobs)
+			b.Assert(refusal.Ran, qt.Equals, "unknown")
+			b.Assert(refusal.AfterMs, qt.Equals, retryShare.Milliseconds())
+		}
+		began := time.Now()
+		brief := b.post("leeuwin", b.ticket(), `{"service":"clubcast","tasks":[1]}`)
+		b.ok(rival, b.next(rival).Start, `1`)
+		b.Assert((<-brief).Code, qt.Equals, http.StatusOK)
+		b.Assert(time.Since(began), qt.Equals, time.Duration(0))
+		b.ok(g, st, `1`)
+		b.Assert((<-first).Code, qt.Equals, http.StatusOK)
+		synctest.Wait() // the others have been answered too
+		again := b.post("ayni", b.ticket(), booking)
+		b.ok(g, b.next(g).Start, `1`)
+		b.Assert((<-again).Code, qt.Equals, http.StatusOK)
 	})
 }
 
-func TestChangeOfAServiceGoesToItsGuards(t *testing.T) {
+// A member's callers send great bodies all at once. Together they would take the
+// entry's memory, and its end would be the end of everybody's requests. One body
+// alone is served whatever its size.
+func TestFloodOfBodies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		guards := b.fleet()
-		b.reconfigure(fixedConfig{revision: 8, own: "path"})
-		b.Assert(b.s.status().Behind, qt.Equals, many)
-		b.Assert(b.holding(guards, 8), qt.HasLen, many)
-		b.Assert(b.s.status().Behind, qt.Equals, 0)
-		b.reconfigure(fixedConfig{revision: 9, own: "path"})
-		b.Assert(b.holding(guards, 9), qt.HasLen, holders)
+		b.s.opts.OpenBytes = 1 << 10
+		g := b.guard("guard-1", 8)
+		great := `{"service":"reserva","tasks":["` + strings.Repeat("x", 2<<10) + `"]}`
+		first := b.post("ayni", b.ticket(), great)
+		st := b.next(g).Start
+		b.refused(<-b.post("ayni", b.ticket(), great), errkind.TooManyJobs)
+		chunked := b.request("ayni", "POST", "/v1/jobs", b.ticket(), booking)
+		chunked.ContentLength = -1
+		b.refused(b.do(chunked), errkind.TooManyJobs)
+		b.ok(g, st, `1`)
+		b.Assert((<-first).Code, qt.Equals, http.StatusOK)
+		second := b.post("ayni", b.ticket(), great)
+		b.ok(g, b.next(g).Start, `1`)
+		b.Assert((<-second).Code, qt.Equals, http.StatusOK)
 	})
 }
 
-// The guards that keep the configuration are replaced one after the other, as
-// workers are every day. If their places were not taken, the last copy of an
-// accepted change would go with them, and an entry that starts in an outage of
-// the store would revert it.
-func TestPlacesOfLostHoldersAreTaken(t *testing.T) {
+// A member's script amends records in a loop without waiting. The store's rate is
+// shared, so the rival's amendment and the entry's own lease would wait behind it.
+func TestFloodOfAmendments(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		guards := b.fleet()
-		b.reconfigure(fixedConfig{revision: 8})
-		first := b.holding(guards, 8)
-		for _, i := range first {
-			guards[i].Close("replaced")
-			synctest.Wait()
-			b.Assert(b.holding(guards, 8), qt.HasLen, 1)
-		}
-	})
-}
-
-// The store is down and every entry has gone. A new entry comes up and only
-// guards can tell it what was accepted; most of them have not been sent the last
-// change. If the entry stayed at what those hold, members would see an accepted
-// amendment reverted.
-func TestEntryStartedInAnOutageFindsTheLastChange(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		platform := standin.New()
-		defer platform.Close()
-		before := newSyncedBench(t, platform)
-		before.amend("first")
-		guards := make([]*wiretest.End, many)
-		for i := range guards {
-			guards[i] = before.guard(fmt.Sprintf("guard-%d", i), 8)
-		}
-		held := make([]*wire.Config, many)
-		before.collect(guards, held)
-		last := before.amend("second")
-		before.collect(guards, held)
-		platform.SetDown(true)
-		before.s.Close()
-
-		after := newSyncedBench(t, platform)
-		after.Assert(after.s.config.Revision(), qt.Equals, int64(0))
-		newest := 0
-		for i, c := range held {
-			if c.Revision == last {
-				newest++
+		held := make(chan struct{})
+		b.s.opts.Records = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPut && r.Header.Get("Authorization") == "Bearer ayni" {
+				<-held
 			}
-			g := after.guard(fmt.Sprintf("guard-%d", i), 8)
-			after.Assert(g.Send(&wire.Frame{Config: c}), qt.IsNil)
+		})
+		b.handler = b.s.Handler()
+		const path = "/v1/records/service/ayni/reserva"
+		for range maxAmendments {
+			go b.do(b.request("ayni", "PUT", path, "", "{}"))
 		}
 		synctest.Wait()
-		after.Assert(newest, qt.Equals, holders)
-		after.Assert(after.s.config.Revision(), qt.Equals, last)
-		m, ok := after.sync.Current().Member("ayni")
-		after.Assert(ok, qt.IsTrue)
-		after.Assert(m.HomeRegion, qt.Equals, "second")
-		after.s.Close()
-	})
-}
-
-// syncedBench is an entry whose configuration comes from a stand-in of the store.
-type syncedBench struct {
-	bench
-	store    store.Store
-	sync     *confsync.Sync
-	revision int64 // of the member's record
-}
-
-func newSyncedBench(t *testing.T, platform *standin.Server) *syncedBench {
-	kv := store.NewEtcd(store.Options{
-		Endpoints: []string{"http://store"}, Timeout: time.Second, Transport: &standin.Transport{Handler: platform},
-	})
-	sealer, err := record.NewSealer("the key of all entries")
-	qt.Assert(t, err, qt.IsNil)
-	b := &syncedBench{store: kv, sync: confsync.New(confsync.Options{Store: kv, Sealer: sealer})}
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	go func() { _ = b.sync.Run(ctx) }()
-	router := &soleRouter{id: "entry-a-000001", known: make(map[identity.Incarnation]bool)}
-	s := New(Options{
-		ID: router.id, Config: NewSyncedConfig(b.sync, "lima"), Router: router,
-		Metrics: telemetry.New(), Log: log.New(io.Discard), FleetKey: "fleet",
+		b.refused(b.do(b.request("ayni", "PUT", path, "", "{}")), errkind.TooManyJobs)
+		b.refused(b.do(b.request("ayni", "DELETE", path, "", "")), errkind.TooManyJobs)
+		b.Assert(b.do(b.request("ayni", "GET", path, "", "")).Code, qt.Equals, http.StatusOK)
+		b.Assert(b.do(b.request("leeuwin", "PUT", path, "", "{}")).Code, qt.Equals, http.StatusOK)
+		b.Assert(b.do(b.request("consortium", "PUT", path, "", "{}")).Code, qt.Equals, http.StatusOK)
+		close(held)
+		synctest.Wait()
+		b.Assert(b.do(b.request("ayni", "PUT", path, "", "{}")).Code, qt.Equals, http.StatusOK)
 	})
-	router.ready = s.GuardReady
-	t.Cleanup(s.Close)
-	b.bench = bench{C: qt.New(t), t: t, s: s, router: router, handler: s.Handler()}
-	synctest.Wait()
-	return b
-}
-
-// amend writes the member's record and gives the revision that is then in force.
-func (b *syncedBench) amend(region string) int64 {
-	value := fmt.Appendf(nil, `{"kind":"member","name":"ayni","schema":1,"home_region":%q}`, region)
-	revision, err := b.store.Put(b.t.Context(), record.Key(record.KindMember, "ayni"), value, b.revision, 0)
-	b.Assert(err, qt.IsNil)
-	b.revision = revision
-	synctest.Wait()
-	b.Assert(b.s.config.Revision(), qt.Equals, revision)
-	return revision
-}
-
-// collect reads what each guard has been sent.
-func (b *syncedBench) collect(guards []*wiretest.End, held []*wire.Config) {
-	for i, g := range guards {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
-		for f, err := g.Recv(ctx); err == nil; f, err = g.Recv(ctx) {
-			held[i] = f.Config
-		}
-		cancel()
-	}
 }
