--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -26,6 +26,9 @@
 	hello *wire.Hello
 	key   [sha256.Size]byte    // hash of the key with which the link was opened
 	lane  atomic.Pointer[lane] // nil until the key is verified
+
+	own         []byte // record of its service, as the guard has it; under Server.shareMu
+	owed, acked int64  // revisions sent and confirmed; under linkTable.mu
 }
 
 func newGuardLink(link wire.Link, h *wire.Hello) *guardLink {
@@ -34,14 +37,16 @@
 	return g
 }
 
-// serveGuard handles a guard's link from its upgrade to its end.
+// serveGuard upgrades a guard's request. The link is served by a goroutine of
+// its own, so that the request, its buffers and its deep stack are not held for
+// as long as the guard lives.
 func (s *Server) serveGuard(w http.ResponseWriter, r *http.Request) {
 	link, err := wire.Accept(w, r, s.traffic)
 	if err != nil {
 		s.metrics.Inc(telemetry.LinksRefused)
 		return
 	}
-	s.ServeGuardLink(s.ctx, link)
+	go s.ServeGuardLink(s.ctx, link)
 }
 
 // ServeGuardLink handles an established link to a guard and returns when it
@@ -57,10 +62,11 @@
 	// The link is listed before it is judged, so that a configuration that comes
 	// into force meanwhile judges it too.
 	s.greeted.add(g)
+	defer context.AfterFunc(ctx, func() { s.endUnverified(g) })()
 	if s.verify(g) {
-		s.shareConfig(g)
+		s.shareOnLink(g)
 	}
-	err = s.pump(ctx, g)
+	err = s.pump(g)
 	s.delist(g, err)
 }
 
@@ -75,8 +81,6 @@
 		g.link.Close("the incarnation is another's")
 		return false
 	}
-	// The lane is there before the link is listed, so that a change of the
-	// configuration, which goes out by lane, cannot miss the guard.
 	l := s.lane(h.Service)
 	if !s.links.add(g) {
 		g.link.Close("entry stops")
@@ -89,6 +93,13 @@
 	return true
 }
 
+// endUnverified ends a link that Close, which looks at verified ones, leaves.
+func (s *Server) endUnverified(g *guardLink) {
+	if g.lane.Load() == nil {
+		g.link.Close("entry stops")
+	}
+}
+
 // delist forgets a link that has ended.
 func (s *Server) delist(g *guardLink, err error) {
 	s.greeted.mu.Lock()
@@ -102,6 +113,7 @@
 	s.metrics.Inc(telemetry.LinksLost)
 	if s.links.remove(g) {
 		s.router.GuardDown(g.hello.Incarnation)
+		s.shareOnLoss()
 		time.AfterFunc(forgetAfter, func() { s.forget(g.hello.Incarnation) })
 	}
 	s.log.Info("guard down", "guard", g.hello.Incarnation, "err", err)
@@ -209,10 +221,12 @@
 	return false
 }
 
-// pump reads the link until it ends.
-func (s *Server) pump(ctx context.Context, g *guardLink) error {
+// pump reads the link until it ends. It waits under no context that can end:
+// each frame would enter and leave the list of what hangs on it, under one lock
+// for all links. Server.Close ends the links themselves.
+func (s *Server) pump(g *guardLink) error {
 	for {
-		f, err := g.link.Recv(ctx)
+		f, err := g.link.Recv(context.Background())
 		if err != nil {
 			return err
 		}
@@ -225,7 +239,7 @@
 		case f.Config != nil:
 			s.config.FromGuard(f.Config)
 		case f.ConfigAck != nil:
-			s.links.acked(g, f.ConfigAck.Revision)
+			s.links.acknowledged(g, f.ConfigAck.Revision)
 		case g.speaksFor(f):
 			s.router.FromGuard(g.hello.Incarnation, f)
 		case *f == (wire.Frame{}):
@@ -236,11 +250,3 @@
 		}
 	}
 }
-
-// shareConfig sends the snapshot in force to a guard that has an older one. A
-// guard with a newer one sends its own, on seeing the revision in the Welcome.
-func (s *Server) shareConfig(g *guardLink) {
-	if c := s.config.ForGuard(g.hello.Service); c != nil && c.Revision > g.hello.Revision {
-		_ = g.link.Send(&wire.Frame{Config: c})
-	}
-}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -31,7 +31,7 @@
 			s.Reconfigure()
 		}
 		if joined(told, now) {
-			s.links.broadcast("", &wire.Frame{Welcome: s.welcome(wire.Version)})
+			s.links.broadcast(&wire.Frame{Welcome: s.welcome(wire.Version)})
 		}
 		told = now
 	}
--- a/internal/entry/verify.go
+++ b/internal/entry/verify.go
@@ -103,7 +103,9 @@
 // verifyAll judges every link again after a change of the configuration.
 func (s *Server) verifyAll() {
 	for _, g := range s.greeted.all() {
-		s.verify(g)
+		if s.verify(g) {
+			s.shareOnLink(g)
+		}
 	}
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -68,6 +68,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet key: %w", err)
 	}
+	limitMemory(set.Limits.Memory)
 	e := &Entry{set: set, log: logger, metrics: telemetry.New(), fenced: make(chan struct{})}
 	registry := e.metrics.GoMetrics()
 	kv := store.NewEtcd(store.Options{
@@ -175,11 +176,11 @@
 
 // dialPeer opens links to other entries, with TLS if it is configured.
 func dialPeer(conf *tls.Config, traffic *wire.Traffic) func(context.Context, wire.EntryAddr) (wire.Link, error) {
-	scheme, transport := "ws", &http.Transport{}
+	scheme := "ws"
 	if conf != nil {
-		scheme, transport = "wss", &http.Transport{TLSClientConfig: conf}
+		scheme = "wss"
 	}
-	client := &http.Client{Transport: transport}
+	client := wire.NewClient(conf)
 	return func(ctx context.Context, to wire.EntryAddr) (wire.Link, error) {
 		return wire.Dial(ctx, scheme+"://"+to.Inner+wire.PeerPath, client, traffic)
 	}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -15,10 +16,8 @@
 
 // Timing and sizes of a link.
 const (
-	sendQueue    = 4096             // frames waiting for the socket
-	writeTimeout = 5 * time.Second  // one frame onto the socket
-	PingEvery    = 15 * time.Second // by the end that dialled
-	pingTimeout  = 5 * time.Second  // for the answer to a ping
+	sendQueue    = 4096            // frames waiting for the socket
+	writeTimeout = 5 * time.Second // one frame onto the socket
 )
 
 // ErrSlowPeer reports a peer that does not read: its send queue is full. The
@@ -48,19 +47,29 @@
 type socketLink struct {
 	conn    *websocket.Conn
 	out     *outbox
+	live    *liveness
+	stuck   *time.Timer // ends the link if a frame is too long on its way to the socket
 	done    chan struct{}
 	once    sync.Once
 	traffic *Traffic
-	life    *liveness
 }
 
-func newLink(conn *websocket.Conn, traffic *Traffic, life *liveness) Link {
+// newLink makes a link without its connection, which needs the link's callbacks.
+// traffic may be nil.
+func newLink(dialed bool, traffic *Traffic) *socketLink {
 	if traffic == nil {
 		traffic = new(Traffic)
 	}
+	return &socketLink{out: newOutbox(sendQueue), live: newLiveness(dialed), done: make(chan struct{}), traffic: traffic}
+}
+
+// begin puts an established connection to work.
+func (l *socketLink) begin(conn *websocket.Conn) *socketLink {
 	conn.SetReadLimit(MaxFrame)
-	l := &socketLink{conn: conn, out: newOutbox(sendQueue), done: make(chan struct{}), traffic: traffic, life: life}
-	go l.write()
+	l.conn = conn
+	l.live.start(l.check)
+	l.stuck = time.AfterFunc(writeTimeout, l.drop)
+	l.stuck.Stop()
 	return l
 }
 
@@ -79,15 +88,22 @@
 		return net.ErrClosed
 	default:
 	}
-	if err := l.out.add(b); err != nil {
+	start, err := l.out.add(b)
+	if err != nil {
 		l.Close("slow peer")
 		return ErrSlowPeer
 	}
+	l.live.sent()
+	if start {
+		go l.write()
+	}
 	return nil
 }
 
 func (l *socketLink) Recv(ctx context.Context) (*Frame, error) {
-	kind, b, err := l.conn.Read(ctx)
+	buf := readBuffers.Get().(*bytes.Buffer)
+	defer keepBuffer(buf)
+	kind, err := l.read(ctx, buf)
 	if err != nil {
 		l.Close("read failed")
 		return nil, fmt.Errorf("read link: %w", err)
@@ -96,10 +112,10 @@
 		l.Close("text frame")
 		return nil, errors.New("read link: text frame")
 	}
-	l.life.hear()
+	l.live.received()
 	l.traffic.FramesIn.Add(1)
-	l.traffic.BytesIn.Add(int64(len(b)))
-	f, err := Decode(b)
+	l.traffic.BytesIn.Add(int64(buf.Len()))
+	f, err := Decode(buf.Bytes())
 	if err != nil {
 		l.Close("malformed frame")
 		return nil, err
@@ -107,46 +123,62 @@
 	return f, nil
 }
 
+func (l *socketLink) read(ctx context.Context, into *bytes.Buffer) (websocket.MessageType, error) {
+	kind, r, err := l.conn.Reader(ctx)
+	if err == nil {
+		_, err = into.ReadFrom(r)
+	}
+	return kind, err
+}
+
+// readBuffers hold a frame until it is decoded; decoding copies what it keeps.
+var readBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// keptBuffer is the largest buffer that is used again, in bytes. One long frame
+// would otherwise hold its memory for good.
+const keptBuffer = 64 << 10
+
+func keepBuffer(b *bytes.Buffer) {
+	if b.Cap() <= keptBuffer {
+		b.Reset()
+		readBuffers.Put(b)
+	}
+}
+
 func (l *socketLink) Close(reason string) {
+	l.end(func() { _ = l.conn.Close(websocket.StatusNormalClosure, reason) })
+}
+
+// drop ends the link to a dead peer. The handshake of a close would wait for
+// the peer for several seconds more, and Recv with it.
+func (l *socketLink) drop() {
+	l.end(func() { _ = l.conn.CloseNow() })
+}
+
+func (l *socketLink) end(shut func()) {
 	l.once.Do(func() {
 		close(l.done)
-		// The close handshake waits for the peer; a frozen peer must not hold
-		// the caller, so it runs aside and ends by the library's own timeout.
-		go func() { _ = l.conn.Close(websocket.StatusNormalClosure, reason) }()
+		l.live.stop()
+		// A close handshake waits for the peer; a frozen peer must not hold the
+		// caller, so it runs aside and ends by the library's own timeout.
+		go shut()
 	})
 }
 
-// write moves queued frames to the socket and checks that the peer lives. One
-// that was frozen or cut off would otherwise look linked until TCP gives up many
-// minutes later.
+// write moves queued frames to the socket and ends when none is left: an entry
+// has hundreds of links, most of them idle, and a waiting goroutine for each
+// would hold its stack.
 func (l *socketLink) write() {
-	check := time.NewTimer(l.life.next())
-	defer check.Stop()
-	var batch [][]byte
-	for {
-		select {
-		case <-l.out.ready:
-			batch = l.out.take(batch)
-			if err := l.putAll(batch); err != nil {
-				l.Close("write failed")
-				return
-			}
-		case <-check.C:
-			if l.life.silent() {
-				l.Close("silent peer")
-				return
-			}
-			if l.life.dialled {
-				go l.ping()
-			}
-			check.Reset(l.life.next())
-		case <-l.done:
+	for batch := l.out.take(nil); len(batch) > 0; batch = l.out.take(batch) {
+		if err := l.putAll(batch); err != nil {
+			l.Close("write failed")
 			return
 		}
 	}
 }
 
 func (l *socketLink) putAll(frames [][]byte) error {
+	defer l.stuck.Stop()
 	for _, b := range frames {
 		if err := l.put(b); err != nil {
 			return err
@@ -156,25 +188,57 @@
 	return nil
 }
 
+// put writes one frame. One timer serves all frames of the link: a context with
+// a deadline for each costs more than the rest of the write but its system call.
 func (l *socketLink) put(b []byte) error {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-	defer cancel()
+	l.stuck.Reset(writeTimeout)
 	// Counted before it is sent: the peer may answer, and somebody read the
 	// counters, before the write returns.
 	l.traffic.FramesOut.Add(1)
 	l.traffic.BytesOut.Add(int64(len(b)))
-	if err := l.conn.Write(ctx, websocket.MessageBinary, b); err != nil {
+	if err := l.conn.Write(context.Background(), websocket.MessageBinary, b); err != nil {
 		return fmt.Errorf("write link: %w", err)
 	}
 	return nil
 }
 
+// check looks after the peer when the timer of liveness fires.
+func (l *socketLink) check() {
+	for {
+		select {
+		case <-l.done:
+			return
+		default:
+		}
+		switch l.live.check() {
+		case wait:
+			return
+		case dead:
+			l.drop()
+		case ping:
+			l.ping()
+		}
+	}
+}
+
+// ping waits for the answer to a ping and drops the link without one, unless
+// something else came: the answer may stand behind a long frame.
 func (l *socketLink) ping() {
-	ctx, cancel := context.WithTimeout(context.Background(), l.life.answer)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
-	if err := l.conn.Ping(ctx); err != nil {
-		l.Close("no answer to ping")
+	err := l.conn.Ping(ctx)
+	if err != nil && l.live.silentSince(began) {
+		l.drop()
+		return
 	}
+	l.live.answered()
+}
+
+// heard is called when a ping of the peer has come; true answers it.
+func (l *socketLink) heard(context.Context, []byte) bool {
+	l.live.received()
+	return true
 }
 
 // Paths of the inner protocol's endpoints at an entry.
@@ -185,28 +249,28 @@
 
 // Dial opens a link to url (ws:// or wss://).
 func Dial(ctx context.Context, url string, client *http.Client, traffic *Traffic) (Link, error) {
+	l := newLink(true, traffic)
 	conn, _, err := websocket.Dial(ctx, url, &websocket.DialOptions{
 		HTTPClient:      client,
 		CompressionMode: websocket.CompressionDisabled,
+		OnPingReceived:  l.heard,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", url, err)
 	}
-	return newLink(conn, traffic, newLiveness(true, PingEvery, pingTimeout)), nil
+	return l.begin(conn), nil
 }
 
-// Accept upgrades an HTTP request to a link.
+// Accept upgrades an HTTP request to a link. The handler may return before the
+// link ends, which frees what net/http holds for the request.
 func Accept(w http.ResponseWriter, r *http.Request, traffic *Traffic) (Link, error) {
-	return accept(w, r, traffic, newLiveness(false, PingEvery, pingTimeout))
-}
-
-func accept(w http.ResponseWriter, r *http.Request, traffic *Traffic, life *liveness) (Link, error) {
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+	l := newLink(false, traffic)
+	conn, err := websocket.Accept(&smallBuffers{w}, r, &websocket.AcceptOptions{
 		CompressionMode: websocket.CompressionDisabled,
-		OnPingReceived:  func(context.Context, []byte) bool { life.hear(); return true },
+		OnPingReceived:  l.heard,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("accept link: %w", err)
 	}
-	return newLink(conn, traffic, life), nil
+	return l.begin(conn), nil
 }
