--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -122,7 +122,7 @@
 	r := c.job.req
 	s := &dispatch.Spec{
 		ID: c.job.id(), Team: r.Team, Deadline: c.sent.Add(r.Deadline),
-		Tasks: make([][]byte, len(r.Tasks)), DeclaredMs: r.Declared.Milliseconds(),
+		Tasks: make([][]byte, len(r.Tasks)), DeclaredMs: r.Declared.Milliseconds(), Need: r.Need,
 	}
 	for i := range s.Tasks {
 		s.Tasks[i] = echo(wire.Ref{Key: c.job.key, Task: i})
--- a/internal/replay/guard.go
+++ b/internal/replay/guard.go
@@ -43,7 +43,7 @@
 	return &wire.Hello{
 		Version: wire.Version, MinVersion: wire.MinVersion, Incarnation: g.incarnation,
 		Service: g.w.trace.Service, Worker: g.def.Name, Rack: g.def.Rack, Domain: g.def.Domain,
-		Slots: g.def.Slots, Load: g.ledger.Load(),
+		Slots: g.def.Slots, Accelerator: g.def.Accelerators, MemoryMB: g.def.MemoryMB, Load: g.ledger.Load(),
 	}
 }
 
--- a/internal/replay/parse.go
+++ b/internal/replay/parse.go
@@ -213,6 +213,7 @@
 	}
 	err := w.settings(map[string]setting{
 		"rack": toString(&d.Rack), "domain": toString(&d.Domain), "slots": toInt(&d.Slots),
+		"accelerators": toInt(&d.Accelerators), "memory_mb": toInt(&d.MemoryMB),
 	})
 	t.Workers = append(t.Workers, d)
 	return err
@@ -359,6 +360,7 @@
 func readRequest(w *words, r *Request) error {
 	err := w.settings(map[string]setting{
 		"team": toString(&r.Team), "deadline": toDuration(&r.Deadline), "declared": toDuration(&r.Declared),
+		"accelerators": toInt(&r.Need.Accelerators), "memory_mb": toInt(&r.Need.MemoryMB),
 		"tasks": func(w *words) error { return readTasks(w, r) },
 	})
 	if err == nil && len(r.Tasks) == 0 {
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -48,6 +48,8 @@
 type Worker struct {
 	Name, Rack, Domain string
 	Slots              int
+	Accelerators       int
+	MemoryMB           int // 0 if not known
 }
 
 // Op is what happens in an Event.
@@ -95,6 +97,7 @@
 	Team     string
 	Deadline time.Duration // from the caller's submission
 	Declared time.Duration // the caller's estimate of one task
+	Need     dispatch.Need // of each task
 	Tasks    []time.Duration
 }
 
