dispatch: a need that a dead worker met is no_workers, not never_fits

Cause: once the only fitting worker was gone for good, jobs were refused as never_fits, 'no worker could ever run this', with the advice to give up. Ruled out: keeping the gone worker in the pool, which placement would have to pass over. An entry now remembers the sizes of workers that it has seen (64 at most). TestNeedOfADeadWorkerIsNotCalledImpossible failed before.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -31,6 +31,8 @@
 		return errkind.New(errkind.NeverFits, "%d tasks exceed the queue of %d", n, c.policy.MaxQueued)
 	case fleet.Usable == 0 && !c.anyInDoubt():
 		return errkind.New(errkind.NoWorkers, "no worker of %s is connected", c.service).WithAfter(afterNoWorkers)
+	case s.Need != (Need{}) && c.pool.Fitting(s.Need, 1) == 0 && c.fittedOnce(s.Need):
+		return errkind.New(errkind.NoWorkers, "the workers of %s that fit are gone", c.service).WithAfter(afterNoWorkers)
 	case s.Need != (Need{}) && c.pool.Fitting(s.Need, 1) == 0:
 		return errkind.New(errkind.NeverFits, "no worker of %s has %d accelerators and %d MB of memory",
 			c.service, s.Need.Accelerators, s.Need.MemoryMB)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -28,9 +28,10 @@
 	jobs     map[JobID]*job
 	flights  map[wire.Ref]*flight
 	queue    sched.Queue[*task]
-	aside    []*task      // tasks that no usable worker may take now
-	classes  []*needClass // tasks set apart until a worker has room for their need
-	apart    int          // how many tasks those are
+	aside    []*task        // tasks that no usable worker may take now
+	sizes    []sched.Worker // sizes of workers seen so far
+	classes  []*needClass   // tasks set apart until a worker has room for their need
+	apart    int            // how many tasks those are
 	timers   timerHeap
 	runs     *sched.RunTimes
 	rate     sched.Rate
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -63,6 +63,7 @@
 	w := c.pool.Workers[g.place]
 	w.Slots = int32(min(max(0, h.Slots), maxSlots))
 	describe(&w, h)
+	c.noteSize(&w)
 	c.pool.Set(g.place, w)
 	g.seq, g.unwell = 0, false
 	c.takeLoad(now, g, &h.Load)
--- a/internal/dispatch/need.go
+++ b/internal/dispatch/need.go
@@ -24,6 +24,23 @@
 	w.MemoryMB = int32(min(max(0, h.MemoryMB), maxMemoryMB))
 }
 
+// mostSizes bounds how many sizes of workers are remembered; a fleet has a few.
+const mostSizes = 64
+
+// noteSize remembers the size of a worker for as long as this entry runs.
+func (c *Core) noteSize(w *sched.Worker) {
+	size := sched.Worker{Accelerators: w.Accelerators, MemoryMB: w.MemoryMB}
+	if len(c.sizes) < mostSizes && !slices.Contains(c.sizes, size) {
+		c.sizes = append(c.sizes, size)
+	}
+}
+
+// fittedOnce tells whether a worker that was here could have met the need. VMs
+// are replaced all day, so that one like it will most likely come back.
+func (c *Core) fittedOnce(n Need) bool {
+	return slices.ContainsFunc(c.sizes, func(w sched.Worker) bool { return w.Fits(n) })
+}
+
 // needClass holds the waiting tasks with one need for which no worker had room.
 //
 // Left in the queue, they would stand in front of tasks that any worker can
--- a/internal/dispatch/need_test.go
+++ b/internal/dispatch/need_test.go
@@ -134,6 +134,21 @@
 	b.c.Assert(fin[1].Err.Ran, qt.Equals, errkind.RanNo)
 }
 
+// The only worker with accelerators has died, and will be replaced. A caller that
+// is told "no worker could ever run this" gives up for good on a request that
+// would be served in a minute.
+func TestNeedOfADeadWorkerIsNotCalledImpossible(t *testing.T) {
+	b := newBench(t, 0, 0)
+	b.upWith(0, 1, 2, 64_000)
+	b.up(1, 1)
+	b.GuardDown(b.now, inc(0))
+	b.advance(DefaultPolicy().Grace)
+	err := b.submitNeed("fitted once", 1, Need{Accelerators: 2, MemoryMB: 64_000})
+	b.c.Assert(err.Kind, qt.Equals, errkind.NoWorkers)
+	b.c.Assert(err.After > 0, qt.IsTrue)
+	b.c.Assert(b.submitNeed("fitted never", 1, Need{Accelerators: 3}).Kind, qt.Equals, errkind.NeverFits)
+}
+
 // The only worker with accelerators is replaced by its next incarnation. Jobs
 // that wait for it would be refused just when it has come back.
 func TestFittingWorkerRestarts(t *testing.T) {
