node: an entry's collector runs earlier, so that it stays within 32 MB

Cause: an entry with the 410 guards of a region took 32.1 MB idle, of which the live heap is 4.6 MB and as much again garbage. Ruled out: a soft memory limit, as members' job records are of the same heap and would make the collector run all the time. The collector now runs at half the live heap.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -69,6 +69,7 @@
 		return nil, fmt.Errorf("fleet key: %w", err)
 	}
 	limitMemory(set.Limits.Memory)
+	collectEarly()
 	e := &Entry{set: set, log: logger, metrics: telemetry.New(), fenced: make(chan struct{})}
 	registry := e.metrics.GoMetrics()
 	kv := store.NewEtcd(store.Options{
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -14,3 +14,17 @@
 		debug.SetMemoryLimit(bytes)
 	}
 }
+
+// entryGCPercent is how much garbage an entry lets grow, as a percentage of its
+// live heap. At the runtime's own 100, an entry with the 410 guards of a region
+// took 32.1 MB and missed its 32 MB; at 50 it takes 30.1 MB
+// (docs/CAPACITY.md#slopes).
+const entryGCPercent = 50
+
+// collectEarly makes the collector of an entry run more often, unless the
+// environment says otherwise.
+func collectEarly() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(entryGCPercent)
+	}
+}
