entry: what stood twice about guards' links is joined

Found on reading the whole change: the newest load report of a link that is not in use yet was kept by two pieces of code, one for verified links and one for others; two tables listed their guards' hellos with the same loop; the rank of a guard was hashed anew in each comparison of a sort, some 7,000 hashes where 410 do; SendGuard served a test only, which now asks the table. Behaviour and assertions stay.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -268,9 +268,6 @@
 	s.eachLane((*lane).close)
 }
 
-// SendGuard queues f for one guard; false if it is not linked.
-func (s *Server) SendGuard(to identity.Incarnation, f *wire.Frame) bool { return s.links.send(to, f) }
-
 // Guards lists the linked guards.
 func (s *Server) Guards() []*wire.Hello { return s.links.all() }
 
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -75,9 +75,11 @@
 // holding chooses the holders among the linked guards, by rendezvous hashing:
 // when one goes or comes, the others stay, and each entry has others.
 func (s *Server) holding(linked []*guardLink) map[*guardLink]bool {
-	slices.SortFunc(linked, func(a, b *guardLink) int {
-		return cmp.Compare(s.rank(b.hello.Incarnation), s.rank(a.hello.Incarnation))
-	})
+	ranks := make(map[*guardLink]uint64, len(linked))
+	for _, g := range linked {
+		ranks[g] = s.rank(g.hello.Incarnation)
+	}
+	slices.SortFunc(linked, func(a, b *guardLink) int { return cmp.Compare(ranks[b], ranks[a]) })
 	out := make(map[*guardLink]bool, holders)
 	for _, g := range linked[:min(holders, len(linked))] {
 		out[g] = true
--- a/internal/entry/isolation_test.go
+++ b/internal/entry/isolation_test.go
@@ -143,7 +143,7 @@
 		b.config.keys = map[string][]record.TokenHash{"leeuwin": keys("leeuwin-key")}
 		own := b.guard("guard-1", 8)
 		b.Assert(closed(b.guardOf("leeuwin/clubcast", "guard-1", "leeuwin-key", 8)), qt.IsTrue)
-		b.Assert(b.s.SendGuard("guard-1", &wire.Frame{Fence: &wire.Fence{}}), qt.IsTrue)
+		b.Assert(b.s.links.send("guard-1", &wire.Frame{Fence: &wire.Fence{}}), qt.IsTrue)
 		b.Assert(b.next(own).Fence, qt.IsNotNil)
 	})
 }
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -174,7 +174,8 @@
 // note keeps what a guard says of itself before its link is put to use. The
 // Hello may be older than its upstream's first health check; if the report that
 // follows were lost, the guard would look unhealthy until its next change, and
-// every request would be refused for want of workers. The lane's lock is held.
+// every request would be refused for want of workers. The caller
+// holds the lane's lock, or greeted.mu while the link has no lane yet.
 func (g *guardLink) note(f *wire.Frame) {
 	load := &g.hello.Load
 	switch {
@@ -200,11 +201,7 @@
 func (l *lane) guards() []*wire.Hello {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]*wire.Hello, 0, len(l.links))
-	for _, g := range l.links {
-		out = append(out, g.hello)
-	}
-	return out
+	return hellos(l.links)
 }
 
 func (l *lane) close() {
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -94,8 +94,13 @@
 func (t *linkTable) all() []*wire.Hello {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]*wire.Hello, 0, len(t.links))
-	for _, g := range t.links {
+	return hellos(t.links)
+}
+
+// hellos lists what the guards of some links said of themselves.
+func hellos(links map[identity.Incarnation]*guardLink) []*wire.Hello {
+	out := make([]*wire.Hello, 0, len(links))
+	for _, g := range links {
 		out = append(out, g.hello)
 	}
 	return out
--- a/internal/entry/verify.go
+++ b/internal/entry/verify.go
@@ -149,9 +149,7 @@
 		l.receive(g, f)
 		return
 	}
-	if f.Load != nil && f.Load.Seq > g.hello.Load.Seq {
-		g.hello.Load = *f.Load
-	}
+	g.note(f)
 	if f.ConfigAck != nil {
 		g.hello.Revision = max(g.hello.Revision, f.ConfigAck.Revision)
 	}
