--- /dev/null
+++ b/internal/batch/admit.go
@@ -0,0 +1,172 @@
+package batch
+
+import (
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/sched"
+)
+
+// expect is the run time that is expected of a step's tasks.
+func (m *Machine) expect(q *Queue, s *Step) time.Duration {
+	if r := m.learned[q.Name]; r != nil {
+		return r.Expect(s.Estimate)
+	}
+	return s.Estimate
+}
+
+func (m *Machine) learn(j *job, s *step, took time.Duration) {
+	name := j.spec.Queue.Name
+	r := m.learned[name]
+	if r == nil {
+		r = new(sched.Ratio)
+		m.learned[name] = r
+	}
+	r.Observe(s.spec.Estimate, took)
+}
+
+// chain is the expected length of the longest chain of steps of a job.
+func (m *Machine) chain(spec *Job) time.Duration {
+	return m.longest(spec, func(int) bool { return true })
+}
+
+// chainLeft is the same for the steps that are not done.
+func (m *Machine) chainLeft(j *job) time.Duration {
+	return m.longest(j.spec, func(i int) bool { return j.steps[i].open > 0 })
+}
+
+func (m *Machine) longest(spec *Job, counts func(step int) bool) time.Duration {
+	ends := make([]time.Duration, len(spec.Steps))
+	var most time.Duration
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		if counts(i) {
+			ends[i] += m.expect(spec.Queue, s)
+		}
+		most = max(most, ends[i])
+	}
+	return most
+}
+
+// quickShare is the part of the expected time in which a job may still end: the
+// callers' estimates are too long by up to two thirds. Refused at its expected
+// time, a job in seven of a queue whose tasks take as long as its callers wait
+// was turned away while workers were idle, and most would have ended in time.
+const quickShare = 0.6
+
+// admit refuses what cannot be served. A refusal is true for good: nothing of the
+// job was sent.
+func (m *Machine) admit(now time.Duration, spec *Job, chain time.Duration) *errkind.Error {
+	if now >= spec.Deadline {
+		return refusal(errkind.DeadlineExpired, 0, "the deadline had passed on arrival")
+	}
+	if err := m.fits(now, spec); err != nil {
+		return err
+	}
+	wait := m.wait(spec)
+	least := time.Duration(quickShare * float64(chain))
+	if end := now + wait + least; end > spec.Deadline {
+		return refusal(errkind.CannotFinishInTime, m.spread(max(afterOverloaded, wait)),
+			"it would start in %v and end %v after its deadline", wait.Round(time.Millisecond), (end - spec.Deadline).Round(time.Millisecond))
+	}
+	goal := time.Duration(spec.Queue.Stretch*float64(chain)) + spec.Queue.Slack
+	if wait > 0 && wait+chain > goal {
+		return refusal(errkind.Overloaded, m.spread(max(afterOverloaded, wait)),
+			"it would start in %v, too late for its goal of %v", wait.Round(time.Millisecond), goal.Round(time.Millisecond))
+	}
+	return nil
+}
+
+// fits refuses a job if a step of it has no worker.
+func (m *Machine) fits(now time.Duration, spec *Job) *errkind.Error {
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		ask := sched.Ask{Service: spec.Queue.Service, Need: s.Need, Label: s.Label}
+		usable, suited, there := m.count(&ask)
+		switch {
+		case usable > 0:
+		case suited > 0 || there == 0 || now-m.began < settleTime:
+			return refusal(errkind.NoWorkers, m.spread(afterNoWorkers), "no worker for step %d is ready", i)
+		default:
+			return refusal(errkind.NeverFits, 0, "no worker could ever run step %d", i)
+		}
+	}
+	return nil
+}
+
+// count counts the workers that could run a task now, ever, and those of its
+// service.
+func (m *Machine) count(ask *sched.Ask) (usable, suited, there int) {
+	for i := range m.view {
+		v := &m.view[i]
+		if v.State == sched.Absent || v.Service != ask.Service {
+			continue
+		}
+		there++
+		if !v.Suits(ask) {
+			continue
+		}
+		suited++
+		if v.State == sched.Usable {
+			usable++
+		}
+	}
+	return usable, suited, there
+}
+
+// wait is how long a job is expected to wait for room: the work that goes before
+// it, and what of its own finds no room, at this entry's part of the workers.
+func (m *Machine) wait(spec *Job) time.Duration {
+	var ahead float64 // thousandths of a core, times nanoseconds
+	for _, j := range m.queue {
+		if j.spec.Queue.Priority <= spec.Queue.Priority && j.spec.Queue.Service == spec.Queue.Service {
+			ahead += m.workWaiting(j)
+		}
+	}
+	capacity, free := m.room(spec.Queue.Service)
+	own := 0.0
+	first := true
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		if len(s.After) > 0 {
+			continue
+		}
+		own += float64(int64(s.Count)*s.Need.CPU) * float64(m.expect(spec.Queue, s))
+		if int64(s.Count)*s.Need.CPU > free {
+			first = false
+		}
+	}
+	if ahead == 0 && first || capacity == 0 {
+		return 0
+	}
+	return time.Duration((ahead + own/2) * float64(m.entries) / float64(capacity))
+}
+
+func (m *Machine) workWaiting(j *job) float64 {
+	sum := 0.0
+	for i := range j.steps {
+		s := &j.steps[i]
+		sum += float64(int64(len(s.waiting))*s.spec.Need.CPU) * float64(m.expect(j.spec.Queue, s.spec))
+	}
+	return sum
+}
+
+// room sums up the usable workers of a service, in thousandths of a core.
+func (m *Machine) room(service string) (capacity, free int64) {
+	for i := range m.view {
+		if v := &m.view[i]; v.State == sched.Usable && v.Service == service {
+			capacity += v.Capacity.CPU
+			free += max(0, v.Free.CPU)
+		}
+	}
+	return capacity, free
+}
+
+// spread draws a time between d and twice d, so that callers who were refused
+// together do not come back together.
+func (m *Machine) spread(d time.Duration) time.Duration {
+	return d + time.Duration(m.rng.Int64N(int64(d)+1))
+}
--- /dev/null
+++ b/internal/batch/api.go
@@ -0,0 +1,113 @@
+// Package batch owns the jobs of one entry whose tasks run on workers under
+// leases: admission, order, placement, repetition of failed tasks, cancellation
+// and the one answer of each job. Such a job is not kept: it is answered when it
+// has ended, and a caller without an answer may send it again, here or elsewhere.
+//
+// It is a state machine under an explicit clock, without goroutine, socket or
+// lock. An entry feeds it what happens and carries out the actions it returns.
+// Times are durations on the entry's clock, which counts the time in which its
+// machine was suspended.
+//
+// The package may import errkind, identity, runs, sched and wire.
+package batch
+
+import (
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// Queue is what the operators' configuration says of one queue.
+type Queue struct {
+	Name        string
+	Service     string // whose workers run its tasks
+	Priority    int    // 0 goes first
+	MaxAttempts int    // runs of a task that may fail before its job has failed
+	// Stretch and Slack give the time in which a job should end: Stretch times
+	// its longest chain of tasks, and Slack more.
+	Stretch float64
+	Slack   time.Duration
+}
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Count     int
+	Need      sched.Room
+	Estimate  time.Duration // the caller's guess of a task's run time; 0 for none
+	After     []int         // earlier steps whose tasks must all be done first
+	Label     string        // that the worker must have; empty for none
+	Rack      string        // where the data lie; empty for nowhere
+	PerWorker int           // most tasks of the step at one worker; 0 for no limit
+}
+
+// Job is a submission.
+type Job struct {
+	ID       string
+	Queue    *Queue
+	Text     string // what the tasks are, for the worker
+	Steps    []Step
+	Deadline time.Duration // when its caller stops waiting
+}
+
+// Outcome is the one answer of a job, which is complete if Err is nil. An error
+// with RanNo means that no task of the job was started.
+type Outcome struct {
+	ID  string
+	Err *errkind.Error
+}
+
+// Action is one thing that the owner of a Machine must do. Exactly one of Frame,
+// Drop and Finish is set.
+type Action struct {
+	Guard  identity.Incarnation // receiver of Frame, or whose link to Drop
+	Frame  *wire.Frame
+	Drop   bool // end the link: the guard is silent
+	Finish *Outcome
+}
+
+// Options of a Machine.
+type Options struct {
+	Domain string // failure domain of the entry
+	Seed   uint64 // of every random choice
+}
+
+// State is what is known of a job.
+type State uint8
+
+// States of a job.
+const (
+	Unknown State = iota
+	Queued
+	Running
+	Complete
+	Failed
+	Cancelled
+)
+
+// Figures of the machine.
+const (
+	// renumberBy is by how much a run's number grows when the worker has seen it
+	// or a later one. Another entry may be counting the same task.
+	renumberBy = 16
+	// mostRefusals is how often a task is placed again after a guard had no room
+	// for it. It ends a loop that a faulty guard could keep up for ever.
+	mostRefusals = 32
+	// remembered is how many ended jobs are kept for callers who ask for their
+	// state or send them again: about a minute's worth at 70 jobs a second.
+	remembered = 4096
+	// settleTime is how long after the start workers are expected to appear. A
+	// need that no known worker meets is called hopeless only after it.
+	settleTime = 5 * time.Second
+	// slowFactor is how many times longer than expected a slow run lasts. Run
+	// times of good workers spread by about 0.4 around their mean.
+	slowFactor = 2.5
+)
+
+// When a caller is told to come back, before random spreading to twice the time.
+const (
+	afterNoWorkers  = time.Second
+	afterOverloaded = 500 * time.Millisecond
+)
--- /dev/null
+++ b/internal/batch/job.go
@@ -0,0 +1,111 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"wigeontray/internal/errkind"
+)
+
+// job is a job that has not been answered.
+type job struct {
+	spec    *Job
+	seq     uint64 // order of arrival
+	arrived time.Duration
+	goal    time.Duration // by when it should end
+	steps   []step
+	open    int  // tasks that are not done
+	waiting int  // tasks that wait for room
+	sent    bool // a task was sent to a guard
+	ran     bool // a task was, or may have been, started
+	done    bool // it was answered
+}
+
+// step is the state of one step.
+type step struct {
+	spec    *Step
+	number  int
+	tasks   []task
+	open    int // tasks that are not done
+	waiting []int
+	at      map[*site]int // tasks at each site
+}
+
+// task is the state of one task.
+type task struct {
+	run      int64 // number of its last start
+	failed   int   // runs that failed
+	refusals int
+	avoid    []*site // sites where it failed or was lost
+}
+
+func newJob(spec *Job, seq uint64, now, chain time.Duration) *job {
+	j := &job{spec: spec, seq: seq, arrived: now, steps: make([]step, len(spec.Steps))}
+	q := spec.Queue
+	j.goal = now + time.Duration(q.Stretch*float64(chain)) + q.Slack
+	for i := range spec.Steps {
+		s := &j.steps[i]
+		s.spec, s.number = &spec.Steps[i], i
+		s.open = s.spec.Count
+		s.tasks = make([]task, s.spec.Count)
+		s.at = make(map[*site]int)
+		j.open += s.spec.Count
+	}
+	for i := range j.steps {
+		j.release(&j.steps[i])
+	}
+	return j
+}
+
+// release lets the tasks of a step wait for room if all steps before are done.
+func (j *job) release(s *step) {
+	for _, before := range s.spec.After {
+		if j.steps[before].open > 0 {
+			return
+		}
+	}
+	s.waiting = make([]int, s.spec.Count)
+	for i := range s.waiting {
+		s.waiting[i] = i
+	}
+	j.waiting += s.spec.Count
+}
+
+// stepDone releases the steps that waited for a step.
+func (j *job) stepDone(done int) {
+	for i := range j.steps {
+		s := &j.steps[i]
+		if slices.Contains(s.spec.After, done) {
+			j.release(s)
+		}
+	}
+}
+
+// again lets a task wait for room once more.
+func (j *job) again(s *step, index int) {
+	s.waiting = append(s.waiting, index)
+	j.waiting++
+}
+
+// before orders jobs that wait: by priority, then by arrival.
+func (j *job) before(o *job) bool {
+	if j.spec.Queue.Priority != o.spec.Queue.Priority {
+		return j.spec.Queue.Priority < o.spec.Queue.Priority
+	}
+	return j.seq < o.seq
+}
+
+func compareJobs(a, b *job) int {
+	switch {
+	case a == b:
+		return 0
+	case a.before(b):
+		return -1
+	}
+	return 1
+}
+
+// refusal makes the error of a job of which no task was started.
+func refusal(kind errkind.Kind, after time.Duration, format string, args ...any) *errkind.Error {
+	return errkind.New(kind, format, args...).WithRan(errkind.RanNo).WithAfter(after)
+}
--- /dev/null
+++ b/internal/batch/machine.go
@@ -0,0 +1,425 @@
+package batch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/runs"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// flight is one run that was sent to a guard and has not ended.
+type flight struct {
+	key  runs.Key
+	job  *job
+	step *step
+	site *site
+	lost time.Duration // when it has ended for sure, if its guard was lost; else 0
+}
+
+// Machine is the state of one entry's jobs.
+type Machine struct {
+	opt     Options
+	rng     *rand.Rand
+	began   time.Duration
+	entries int // that share the workers
+
+	sites  []*site // same places as view
+	view   []sched.Site
+	places map[identity.Incarnation]*site
+
+	jobs    map[string]*job
+	queue   []*job // with tasks that wait, in order
+	flights map[runs.Key]*flight
+	learned map[string]*sched.Ratio // by queue
+	past    *past
+	seq     uint64
+	hungry  bool // guards were told that tasks wait
+
+	actions []Action
+}
+
+// New returns the machine of an entry that starts now.
+func New(now time.Duration, opt Options) *Machine {
+	return &Machine{
+		opt:     opt,
+		rng:     rand.New(rand.NewPCG(opt.Seed, 0)),
+		began:   now,
+		entries: 1,
+		places:  make(map[identity.Incarnation]*site),
+		jobs:    make(map[string]*job),
+		flights: make(map[runs.Key]*flight),
+		learned: make(map[string]*sched.Ratio),
+		past:    newPast(remembered),
+	}
+}
+
+// Actions returns the actions since the last call, for the caller to keep.
+func (m *Machine) Actions(now time.Duration) []Action {
+	m.tellHunger(now)
+	out := m.actions
+	m.actions = nil
+	return out
+}
+
+// SetEntries tells how many entries share the workers.
+func (m *Machine) SetEntries(n int) { m.entries = max(1, n) }
+
+// Jobs tells how many jobs are not answered, and how many of a queue no task has
+// been sent of.
+func (m *Machine) Jobs(queue string) (open, pending int) {
+	for _, j := range m.jobs {
+		if j.spec.Queue.Name == queue && !j.sent {
+			pending++
+		}
+	}
+	return len(m.jobs), pending
+}
+
+// Workers tells how many workers may be given tasks.
+func (m *Machine) Workers() int {
+	n := 0
+	for i := range m.view {
+		if m.view[i].State == sched.Usable {
+			n++
+		}
+	}
+	return n
+}
+
+// State tells what is known of a job.
+func (m *Machine) State(id string) State {
+	j := m.jobs[id]
+	switch {
+	case j == nil:
+		return m.past.state(id)
+	case j.sent:
+		return Running
+	}
+	return Queued
+}
+
+// Submit admits a job or refuses it for good. The outcome of an admitted job
+// comes as a Finish action. A job that has been admitted and is not answered must
+// not be submitted again.
+func (m *Machine) Submit(now time.Duration, spec *Job) *errkind.Error {
+	chain := m.chain(spec)
+	if err := m.admit(now, spec, chain); err != nil {
+		return err
+	}
+	m.seq++
+	j := newJob(spec, m.seq, now, chain)
+	m.jobs[spec.ID] = j
+	m.enqueue(j)
+	m.pump(now)
+	return nil
+}
+
+// Cancel withdraws a job and tells whether it was there.
+func (m *Machine) Cancel(now time.Duration, id string) bool {
+	j := m.jobs[id]
+	if j == nil {
+		return false
+	}
+	m.fail(now, j, errkind.New(errkind.Cancelled, "the caller cancelled the job"))
+	m.pump(now)
+	return true
+}
+
+func (m *Machine) enqueue(j *job) {
+	if j.waiting == 0 {
+		return
+	}
+	at, found := slices.BinarySearchFunc(m.queue, j, compareJobs)
+	if !found {
+		m.queue = slices.Insert(m.queue, at, j)
+	}
+}
+
+func (m *Machine) dequeue(j *job) {
+	if at, found := slices.BinarySearchFunc(m.queue, j, compareJobs); found {
+		m.queue = slices.Delete(m.queue, at, at+1)
+	}
+}
+
+// pump sends waiting tasks, in order, wherever there is room.
+func (m *Machine) pump(now time.Duration) {
+	if len(m.queue) == 0 {
+		return
+	}
+	free := m.mostFree()
+	for i := 0; i < len(m.queue) && free > 0; {
+		j := m.queue[i]
+		if m.place(now, j, free) {
+			free = m.mostFree()
+		}
+		if j.waiting == 0 {
+			m.queue = slices.Delete(m.queue, i, i+1)
+		} else {
+			i++
+		}
+	}
+}
+
+// mostFree is the most free processor of any site, in thousandths of a core: no
+// task that needs more can be placed.
+func (m *Machine) mostFree() int64 {
+	most := int64(0)
+	for i := range m.view {
+		if s := &m.view[i]; s.State == sched.Usable {
+			most = max(most, s.Free.CPU)
+		}
+	}
+	return most
+}
+
+// place sends what has room of one job, one frame a site, and tells whether
+// anything was sent.
+func (m *Machine) place(now time.Duration, j *job, free int64) bool {
+	var batches []*batch
+	for i := range j.steps {
+		s := &j.steps[i]
+		if len(s.waiting) > 0 && s.spec.Need.CPU <= free {
+			batches = m.placeStep(now, j, s, batches)
+		}
+	}
+	for _, b := range batches {
+		m.send(now, j, b)
+	}
+	return len(batches) > 0
+}
+
+// batch is what goes to one site in one frame.
+type batch struct {
+	site  *site
+	tasks []wire.RunTask
+}
+
+func (m *Machine) placeStep(now time.Duration, j *job, s *step, batches []*batch) []*batch {
+	left := s.waiting[:0]
+	for _, index := range s.waiting {
+		at := m.choose(j, s, index)
+		if at == nil {
+			left = append(left, index)
+			continue
+		}
+		b := batchFor(&batches, at)
+		b.tasks = append(b.tasks, m.take(now, j, s, index, at))
+	}
+	s.waiting = left
+	return batches
+}
+
+func batchFor(batches *[]*batch, at *site) *batch {
+	for _, b := range *batches {
+		if b.site == at {
+			return b
+		}
+	}
+	b := &batch{site: at}
+	*batches = append(*batches, b)
+	return b
+}
+
+// choose gives the site for a task, or nil.
+func (m *Machine) choose(j *job, s *step, index int) *site {
+	t := &s.tasks[index]
+	ask := sched.Ask{
+		Service: j.spec.Queue.Service, Need: s.spec.Need, Label: s.spec.Label, Rack: s.spec.Rack,
+		Domain: m.opt.Domain,
+	}
+	if s.spec.PerWorker > 0 || len(t.avoid) > 0 {
+		ask.Avoid = func(i int) bool {
+			at := m.sites[i]
+			return s.spec.PerWorker > 0 && s.at[at] >= s.spec.PerWorker || slices.Contains(t.avoid, at)
+		}
+	}
+	i := sched.BestSite(m.view, &ask)
+	if i == sched.NoWorker {
+		return nil
+	}
+	return m.sites[i]
+}
+
+// take books a task on a site.
+func (m *Machine) take(now time.Duration, j *job, s *step, index int, at *site) wire.RunTask {
+	t := &s.tasks[index]
+	t.run++
+	k := runs.Key{Job: j.spec.ID, Step: s.number, Index: index, Run: t.run}
+	m.flights[k] = &flight{key: k, job: j, step: s, site: at}
+	s.at[at]++
+	j.waiting--
+	j.sent = true
+	v := &m.view[at.place]
+	if v.Own++; v.Own == 1 {
+		at.since = now
+	}
+	v.Free = v.Free.Minus(s.spec.Need)
+	return wire.RunTask{Step: s.number, Index: index, Run: t.run, Need: s.spec.Need}
+}
+
+func (m *Machine) send(now time.Duration, j *job, b *batch) {
+	at := b.site
+	at.seq++
+	var sum sched.Room
+	for i := range b.tasks {
+		sum = sum.Plus(b.tasks[i].Need)
+	}
+	at.unseen = append(at.unseen, unseen{seq: at.seq, room: sum})
+	m.frame(now, at, &wire.Frame{RunTasks: &wire.RunTasks{
+		Seq: at.seq, ClockMs: at.clockMs(now), Job: j.spec.ID, Text: j.spec.Text,
+		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks,
+	}})
+}
+
+func (m *Machine) frame(now time.Duration, at *site, f *wire.Frame) {
+	at.told = now
+	m.actions = append(m.actions, Action{Guard: at.guard, Frame: f})
+}
+
+// Ended takes a guard's word on runs.
+func (m *Machine) Ended(now time.Duration, guard identity.Incarnation, e *wire.RunsEnded) {
+	at := m.places[guard]
+	if at == nil {
+		return
+	}
+	m.takeLoad(now, at, &e.Load)
+	for i := range e.Ends {
+		m.ended(now, at, &e.Ends[i])
+	}
+	m.pump(now)
+}
+
+func (m *Machine) ended(now time.Duration, at *site, e *wire.RunEnd) {
+	f := m.flights[runs.Key{Job: e.Job, Step: e.Step, Index: e.Index, Run: e.Run}]
+	if f == nil || f.site != at {
+		return
+	}
+	m.land(f)
+	m.noteHealth(now, f, e)
+	if e.Ran != errkind.RanNo {
+		f.job.ran = true
+	}
+	if f.job.done {
+		return
+	}
+	if e.Kind == errkind.None {
+		m.taskDone(now, f, e)
+		return
+	}
+	m.taskEnded(now, f, e)
+}
+
+// land takes a flight off the books.
+func (m *Machine) land(f *flight) {
+	delete(m.flights, f.key)
+	f.step.at[f.site]--
+	if m.sites[f.site.place] == f.site {
+		m.view[f.site.place].Own--
+	}
+}
+
+func (m *Machine) taskDone(now time.Duration, f *flight, e *wire.RunEnd) {
+	j, s := f.job, f.step
+	m.learn(j, s, milliseconds(e.RunMs))
+	j.open--
+	if s.open--; s.open == 0 {
+		j.stepDone(s.number)
+		m.enqueue(j)
+	}
+	if j.open == 0 {
+		m.finish(now, j, nil)
+	}
+}
+
+// taskEnded decides what becomes of a task whose run ended without success.
+func (m *Machine) taskEnded(now time.Duration, f *flight, e *wire.RunEnd) {
+	j, t := f.job, &f.step.tasks[f.key.Index]
+	switch {
+	case e.Renumber:
+		t.run += renumberBy
+	case e.Kind == errkind.TimedOut:
+		m.expire(now, j)
+		return
+	case e.Kind == errkind.BadRequest:
+		m.fail(now, j, errkind.New(errkind.NeverFits, "the worker does not understand the task"))
+		return
+	case e.Kind == errkind.UpstreamFailed && e.Ran == errkind.RanYes:
+		t.failed++
+		if t.failed >= j.spec.Queue.MaxAttempts {
+			m.fail(now, j, errkind.New(errkind.UpstreamFailed, "task %d of step %d failed %d times", f.key.Index, f.key.Step, t.failed))
+			return
+		}
+		m.avoid(f, t)
+	case e.Kind != errkind.Busy:
+		m.avoid(f, t)
+	}
+	if t.refusals++; t.refusals > mostRefusals {
+		m.fail(now, j, errkind.New(errkind.Overloaded, "task %d of step %d found no worker in %d tries", f.key.Index, f.key.Step, t.refusals))
+		return
+	}
+	j.again(f.step, f.key.Index)
+	m.enqueue(j)
+}
+
+// avoid keeps a task from a site where it did not succeed, while another site
+// could take it.
+func (m *Machine) avoid(f *flight, t *task) {
+	if !slices.Contains(t.avoid, f.site) {
+		t.avoid = append(t.avoid, f.site)
+	}
+	ask := sched.Ask{Service: f.job.spec.Queue.Service, Need: f.step.spec.Need, Label: f.step.spec.Label}
+	for i := range m.view {
+		v := &m.view[i]
+		if v.State == sched.Usable && v.Suits(&ask) && !slices.Contains(t.avoid, m.sites[i]) {
+			return
+		}
+	}
+	t.avoid = nil
+}
+
+// fail answers a job and withdraws what runs of it.
+func (m *Machine) fail(now time.Duration, j *job, err *errkind.Error) {
+	stopped := make(map[*site]bool)
+	for k, f := range m.flights {
+		if f.job != j {
+			continue
+		}
+		j.ran = true // as far as is known
+		if f.lost > 0 {
+			delete(m.flights, k)
+		} else if !stopped[f.site] {
+			stopped[f.site] = true
+			m.frame(now, f.site, &wire.Frame{StopRuns: &wire.StopRuns{ClockMs: f.site.clockMs(now), Job: j.spec.ID}})
+		}
+	}
+	m.finish(now, j, err)
+}
+
+// finish answers a job. What an error says of a start is what is known: "not run"
+// only if each run of the job was refused before it began.
+func (m *Machine) finish(_ time.Duration, j *job, err *errkind.Error) {
+	j.done = true
+	delete(m.jobs, j.spec.ID)
+	m.dequeue(j)
+	switch {
+	case err == nil:
+	case !j.ran:
+		err = err.WithRan(errkind.RanNo)
+	case err.Ran == errkind.RanNo:
+		err = err.WithRan(errkind.RanUnknown)
+	}
+	m.past.add(j.spec.ID, stateOf(err))
+	m.actions = append(m.actions, Action{Finish: &Outcome{ID: j.spec.ID, Err: err}})
+}
+
+// expire answers a job whose caller has stopped waiting.
+func (m *Machine) expire(now time.Duration, j *job) {
+	m.fail(now, j, errkind.New(errkind.TimedOut, "the deadline passed"))
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/batch/site.go
@@ -0,0 +1,195 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/runs"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// site is one guard with its worker, from its link's start to its end.
+type site struct {
+	guard  identity.Incarnation
+	place  int
+	worker wire.RunWorker
+	seq    uint64        // of the last RunTasks
+	unseen []unseen      // RunTasks that its load does not count in yet
+	free   sched.Room    // by its last load
+	ahead  time.Duration // its clock less this entry's, at least
+	heard  time.Duration
+	told   time.Duration
+	since  time.Duration // when the first of the runs that it has was sent
+	health sched.Health
+	sick   bool
+	until  time.Duration // end of its quarantine
+}
+
+type unseen struct {
+	seq  uint64
+	room sched.Room
+}
+
+// clockMs is the guard's clock as far as it is known here: never ahead of it, so
+// that a frame that is held up looks its age.
+func (s *site) clockMs(now time.Duration) int64 { return (now + s.ahead).Milliseconds() }
+
+// GuardUp adds a guard, with its worker, whose link is ready.
+func (m *Machine) GuardUp(now time.Duration, h *wire.RunHello) {
+	if m.places[h.Incarnation] != nil {
+		m.GuardDown(now, h.Incarnation)
+	}
+	s := &site{guard: h.Incarnation, place: slices.Index(m.sites, nil)}
+	if s.place < 0 {
+		s.place = len(m.sites)
+		m.sites = append(m.sites, nil)
+		m.view = append(m.view, sched.Site{})
+	}
+	m.sites[s.place] = s
+	m.places[s.guard] = s
+	s.ahead = milliseconds(h.Load.ClockMs) - now
+	m.describe(s, &h.Worker)
+	m.takeLoad(now, s, &h.Load)
+	m.pump(now)
+}
+
+// GuardDown notes the loss of a guard's link. What runs there may go on for
+// runs.LossTime; only then is it started elsewhere. A job that has no time for
+// that is answered at once.
+func (m *Machine) GuardDown(now time.Duration, guard identity.Incarnation) {
+	s := m.places[guard]
+	if s == nil {
+		return
+	}
+	delete(m.places, guard)
+	m.sites[s.place] = nil
+	m.view[s.place] = sched.Site{}
+	free := now + runs.LossTime
+	for k, f := range m.flights {
+		switch {
+		case f.site != s || f.lost > 0:
+		case f.job.done:
+			delete(m.flights, k)
+		case free+m.chainLeft(f.job) > f.job.spec.Deadline:
+			f.lost = free
+			m.fail(now, f.job, errkind.New(errkind.WorkerLost, "the guard %s was lost", guard))
+		default:
+			f.lost = free
+		}
+	}
+	m.pump(now)
+}
+
+// Beat takes a guard's word that it lives, and its state.
+func (m *Machine) Beat(now time.Duration, guard identity.Incarnation, b *wire.GuardBeat) {
+	s := m.places[guard]
+	if s == nil {
+		return
+	}
+	if b.Worker != nil {
+		m.describe(s, b.Worker)
+	}
+	m.takeLoad(now, s, &b.Load)
+	m.pump(now)
+}
+
+func (m *Machine) describe(s *site, w *wire.RunWorker) {
+	if w.ID != s.worker.ID {
+		s.health, s.sick = sched.Health{}, false
+		m.view[s.place].Limit = 0
+	}
+	s.worker = *w
+	v := &m.view[s.place]
+	v.Service, v.Domain, v.Rack, v.Labels, v.Capacity = w.Service, w.Domain, w.Rack, w.Labels, w.Capacity
+	m.setState(s)
+}
+
+func (m *Machine) setState(s *site) {
+	v := &m.view[s.place]
+	switch {
+	case s.worker.ID == "":
+		v.State = sched.Absent
+	case !s.worker.Usable:
+		v.State = sched.Leaving
+	case s.sick:
+		v.State = sched.Quarantined
+	default:
+		v.State = sched.Usable
+	}
+}
+
+// takeLoad notes what is free at a guard, less what is on its way there.
+func (m *Machine) takeLoad(now time.Duration, s *site, l *wire.RunLoad) {
+	s.heard = now
+	s.ahead = max(s.ahead, milliseconds(l.ClockMs)-now)
+	s.free = l.Free
+	s.unseen = slices.DeleteFunc(s.unseen, func(u unseen) bool { return u.seq <= l.Seen })
+	free := s.free
+	for _, u := range s.unseen {
+		free = free.Minus(u.room)
+	}
+	m.view[s.place].Free = free
+}
+
+// tellHunger tells guards whether tasks wait here for room.
+func (m *Machine) tellHunger(now time.Duration) {
+	hungry := len(m.queue) > 0
+	if hungry == m.hungry {
+		return
+	}
+	m.hungry = hungry
+	for _, s := range m.sites {
+		if s != nil {
+			m.beat(now, s)
+		}
+	}
+}
+
+func (m *Machine) beat(now time.Duration, s *site) {
+	m.frame(now, s, &wire.Frame{EntryBeat: &wire.EntryBeat{ClockMs: s.clockMs(now), Waiting: m.hungry}})
+}
+
+// noteHealth learns from an end how the worker does.
+func (m *Machine) noteHealth(now time.Duration, f *flight, e *wire.RunEnd) {
+	s := f.site
+	v := &m.view[s.place]
+	switch {
+	case e.Kind == errkind.None:
+		slow := milliseconds(e.RunMs) > time.Duration(slowFactor*float64(m.expect(f.job.spec.Queue, f.step.spec)))
+		s.health.Ran(slow)
+		if v.Limit > 0 && !s.sick {
+			v.Limit = int(s.health.Probed(int32(v.Limit), probeLimit, slow))
+		}
+	case e.Kind == errkind.UpstreamFailed || e.Kind == errkind.TimedOut:
+		s.health.Failed(f.key.Job)
+	default:
+		return
+	}
+	if !s.sick && s.health.Sick() && m.mayBar() {
+		s.sick = true
+		s.until = s.health.Quarantine(time.Time{}.Add(now)).Sub(time.Time{})
+		m.setState(s)
+	}
+}
+
+// probeLimit is the number of this entry's tasks at which a worker that comes
+// back is trusted again.
+const probeLimit = 8
+
+// mayBar keeps at least half of the workers in use: a fault of all of them must
+// not empty the pool.
+func (m *Machine) mayBar() bool {
+	usable, barred := 0, 0
+	for i := range m.view {
+		switch m.view[i].State {
+		case sched.Usable:
+			usable++
+		case sched.Quarantined:
+			barred++
+		}
+	}
+	return usable-1 >= (usable+barred+1)/2
+}
--- /dev/null
+++ b/internal/batch/tick.go
@@ -0,0 +1,113 @@
+package batch
+
+import (
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/runs"
+)
+
+// Tick does what is due: deadlines, jobs that wait in vain, tasks of lost guards,
+// beats, guards that are silent, and the ends of quarantines.
+func (m *Machine) Tick(now time.Duration) {
+	m.tickJobs(now)
+	m.tickFlights(now)
+	m.tickSites(now)
+	m.pump(now)
+}
+
+func (m *Machine) tickJobs(now time.Duration) {
+	for _, j := range m.jobs {
+		switch {
+		case now >= j.spec.Deadline:
+			m.expire(now, j)
+		case now >= m.giveUpAt(j):
+			m.fail(now, j, refusal(errkind.Overloaded, m.spread(afterOverloaded), "no worker had room in time"))
+		}
+	}
+}
+
+// giveUpAt is when a job of which nothing was sent can no longer end by its goal.
+// It is refused then: held on, it would take the room of jobs that still can.
+func (m *Machine) giveUpAt(j *job) time.Duration {
+	if j.sent {
+		return j.spec.Deadline
+	}
+	return min(j.spec.Deadline, max(j.goal-m.chain(j.spec), j.arrived))
+}
+
+// tickFlights starts tasks of lost guards elsewhere once they have ended there.
+func (m *Machine) tickFlights(now time.Duration) {
+	for k, f := range m.flights {
+		if f.lost == 0 || now < f.lost {
+			continue
+		}
+		delete(m.flights, k)
+		f.step.at[f.site]--
+		f.job.ran = true
+		f.job.again(f.step, k.Index)
+		m.enqueue(f.job)
+	}
+}
+
+func (m *Machine) tickSites(now time.Duration) {
+	busy := m.sitesWithFlights()
+	for _, s := range m.sites {
+		if s == nil {
+			continue
+		}
+		if s.sick && now >= s.until {
+			s.sick = false
+			m.view[s.place].Limit = 1
+			m.setState(s)
+		}
+		first, ok := busy[s]
+		switch {
+		case !ok:
+		case now-max(s.heard, first) > runs.PermitTime:
+			m.actions = append(m.actions, Action{Guard: s.guard, Drop: true})
+			m.GuardDown(now, s.guard)
+		case now-s.told >= runs.BeatEvery:
+			m.beat(now, s)
+		}
+	}
+}
+
+// sitesWithFlights gives the sites that owe an end, and since when: a guard that
+// had nothing to do was rightly silent before.
+func (m *Machine) sitesWithFlights() map[*site]time.Duration {
+	busy := make(map[*site]time.Duration)
+	for _, f := range m.flights {
+		if f.lost == 0 {
+			busy[f.site] = f.site.since
+		}
+	}
+	return busy
+}
+
+// NextTick tells when Tick is next due; 0 for never.
+func (m *Machine) NextTick() time.Duration {
+	var next time.Duration
+	sooner := func(t time.Duration) {
+		if next == 0 || t < next {
+			next = t
+		}
+	}
+	for _, j := range m.jobs {
+		sooner(m.giveUpAt(j))
+	}
+	for _, f := range m.flights {
+		if f.lost > 0 {
+			sooner(f.lost)
+			continue
+		}
+		sooner(f.site.told + runs.BeatEvery)
+		sooner(max(f.site.heard, f.site.since) + runs.PermitTime + time.Millisecond)
+	}
+	for _, s := range m.sites {
+		if s != nil && s.sick {
+			sooner(s.until)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/internal/batchnode/entry.go
@@ -0,0 +1,262 @@
+package batchnode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"wigeontray/internal/batch"
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/telemetry"
+	"wigeontray/internal/wire"
+)
+
+// EntryOptions configures an Entry.
+type EntryOptions struct {
+	Name    string // of the process, for its incarnation
+	Domain  string // failure domain
+	Address string // where guards reach it
+	Seed    uint64
+	Clock   Clock
+	Metrics *telemetry.Registry
+	Log     *log.Logger
+	// Apply puts a document of the operators in force, or tells why it cannot be.
+	// Calls come one at a time, with growing versions.
+	Apply func(version int64, document []byte) error
+}
+
+// Entry serves jobs that are answered when they end. Its methods may be called
+// from many goroutines. Lock order: configMu, then mu.
+type Entry struct {
+	opt EntryOptions
+	id  identity.Incarnation
+
+	mu      sync.Mutex
+	machine *batch.Machine
+	links   map[identity.Incarnation]wire.Link
+	waiters map[string][]*waiter
+	known   []string // addresses of entries
+	alarm   *alarm
+
+	configMu sync.Mutex
+	version  int64 // in force; 0 before the first
+	document []byte
+}
+
+// waiter is a caller's request that waits for the answer of a job.
+type waiter struct {
+	answer chan *batch.Outcome
+	began  time.Duration
+}
+
+// NewEntry returns an entry without guards and configuration.
+func NewEntry(opt EntryOptions) *Entry {
+	e := &Entry{
+		opt:     opt,
+		id:      identity.NewIncarnation(opt.Name),
+		machine: batch.New(opt.Clock(), batch.Options{Domain: opt.Domain, Seed: opt.Seed}),
+		links:   make(map[identity.Incarnation]wire.Link),
+		waiters: make(map[string][]*waiter),
+		known:   []string{opt.Address},
+	}
+	e.alarm = newAlarm(opt.Clock, func() {
+		e.step(func(now time.Duration, m *batch.Machine) { m.Tick(now) })
+	})
+	return e
+}
+
+// ID is the incarnation of this entry.
+func (e *Entry) ID() identity.Incarnation { return e.id }
+
+// step lets the machine take one event and carries out what follows.
+func (e *Entry) step(event func(now time.Duration, m *batch.Machine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stepLocked(event)
+}
+
+func (e *Entry) stepLocked(event func(now time.Duration, m *batch.Machine)) {
+	now := e.opt.Clock()
+	event(now, e.machine)
+	for _, a := range e.machine.Actions(now) {
+		e.carryOut(now, &a)
+	}
+	e.alarm.set(e.machine.NextTick())
+}
+
+func (e *Entry) carryOut(now time.Duration, a *batch.Action) {
+	switch {
+	case a.Finish != nil:
+		e.finish(now, a.Finish)
+	case a.Drop:
+		e.opt.Log.Warn("guard is silent", "guard", a.Guard)
+		e.opt.Metrics.Inc(telemetry.GuardsLost)
+		e.unlink(a.Guard, "silent")
+	case a.Frame != nil:
+		e.post(a.Guard, a.Frame)
+	}
+}
+
+// post sends a frame if the guard has a link. A lost link is noticed by its
+// reader, which tells the machine.
+func (e *Entry) post(to identity.Incarnation, f *wire.Frame) {
+	link := e.links[to]
+	if link == nil {
+		return
+	}
+	if f.RunTasks != nil {
+		e.opt.Metrics.Add(telemetry.TasksStarted, int64(len(f.RunTasks.Tasks)))
+	}
+	if err := link.Send(f); err != nil {
+		e.opt.Log.Warn("frame not sent", "guard", to, "err", err)
+	}
+}
+
+func (e *Entry) unlink(guard identity.Incarnation, why string) {
+	if link := e.links[guard]; link != nil {
+		delete(e.links, guard)
+		link.Close(why)
+	}
+}
+
+func (e *Entry) finish(now time.Duration, out *batch.Outcome) {
+	waiting := e.waiters[out.ID]
+	delete(e.waiters, out.ID)
+	e.count(out)
+	for _, w := range waiting {
+		e.opt.Metrics.Observe(telemetry.JobLatency, now-w.began)
+		w.answer <- out
+	}
+	if out.Err != nil {
+		e.opt.Log.Info("job ended", "job", out.ID, "outcome", out.Err.Kind, "ran", out.Err.Ran, "cause", out.Err.Detail)
+	}
+}
+
+func (e *Entry) count(out *batch.Outcome) {
+	switch {
+	case out.Err == nil:
+		e.opt.Metrics.Inc(telemetry.JobsAnswered)
+	case out.Err.Kind == errkind.Cancelled:
+		e.opt.Metrics.Inc(telemetry.JobsCancelled)
+	default:
+		e.opt.Metrics.Inc(telemetry.JobsFailed)
+		e.opt.Metrics.Failed(out.Err.Kind)
+	}
+}
+
+// Submit runs a job and returns its outcome. left is how long the caller waits.
+// A job that is under way already is joined, and one that is complete or has
+// failed for good gets the same answer again. If ctx ends first, nobody waits for
+// the answer, and the job is withdrawn unless another request has joined it.
+func (e *Entry) Submit(ctx context.Context, job *batch.Job, left time.Duration) *batch.Outcome {
+	w, out := e.begin(job, left)
+	if out != nil {
+		return out
+	}
+	select {
+	case out := <-w.answer:
+		return out
+	case <-ctx.Done():
+		e.abandon(job.ID, w)
+		return nil
+	}
+}
+
+func (e *Entry) begin(job *batch.Job, left time.Duration) (*waiter, *batch.Outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := &waiter{answer: make(chan *batch.Outcome, 1), began: e.opt.Clock()}
+	switch e.machine.State(job.ID) {
+	case batch.Queued, batch.Running:
+		e.opt.Metrics.Inc(telemetry.JobsResubmitted)
+		e.waiters[job.ID] = append(e.waiters[job.ID], w)
+		return w, nil
+	case batch.Complete:
+		e.opt.Metrics.Inc(telemetry.JobsResubmitted)
+		return nil, &batch.Outcome{ID: job.ID}
+	case batch.Failed:
+		e.opt.Metrics.Inc(telemetry.JobsResubmitted)
+		return nil, &batch.Outcome{ID: job.ID, Err: errkind.New(errkind.UpstreamFailed, "the job has failed before")}
+	}
+	var refused *errkind.Error
+	e.waiters[job.ID] = append(e.waiters[job.ID], w)
+	e.stepLocked(func(now time.Duration, m *batch.Machine) {
+		job.Deadline = now + left
+		refused = m.Submit(now, job)
+	})
+	if refused != nil {
+		delete(e.waiters, job.ID)
+		e.opt.Metrics.Refused(refused.Kind)
+		e.opt.Log.Info("job refused", "job", job.ID, "queue", job.Queue.Name, "reason", refused.Kind, "cause", refused.Detail, "after", refused.After)
+		return nil, &batch.Outcome{ID: job.ID, Err: refused}
+	}
+	e.opt.Metrics.Inc(telemetry.JobsAccepted)
+	return w, nil
+}
+
+// abandon takes back one caller's interest in a job.
+func (e *Entry) abandon(id string, w *waiter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var rest []*waiter
+	for _, o := range e.waiters[id] {
+		if o != w {
+			rest = append(rest, o)
+		}
+	}
+	if len(rest) > 0 {
+		e.waiters[id] = rest
+		return
+	}
+	delete(e.waiters, id)
+	e.stepLocked(func(now time.Duration, m *batch.Machine) { m.Cancel(now, id) })
+}
+
+// Cancel withdraws a job and tells whether it was under way here.
+func (e *Entry) Cancel(id string) (found bool) {
+	e.step(func(now time.Duration, m *batch.Machine) { found = m.Cancel(now, id) })
+	return found
+}
+
+// State tells what is known of a job.
+func (e *Entry) State(id string) batch.State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.State(id)
+}
+
+// Pending counts a queue's jobs of which no task has been sent to a worker.
+func (e *Entry) Pending(queue string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, pending := e.machine.Jobs(queue)
+	return pending
+}
+
+// Open counts the jobs that are not answered.
+func (e *Entry) Open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	open, _ := e.machine.Jobs("")
+	return open
+}
+
+// Workers counts the workers that may be given tasks.
+func (e *Entry) Workers() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.Workers()
+}
+
+// Close ends all links and timers.
+func (e *Entry) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id := range e.links {
+		e.unlink(id, "entry stops")
+	}
+	e.alarm.stop()
+}
--- /dev/null
+++ b/internal/batchnode/entrylink.go
@@ -0,0 +1,199 @@
+package batchnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"wigeontray/internal/batch"
+	"wigeontray/internal/telemetry"
+	"wigeontray/internal/wire"
+)
+
+// helloTimeout bounds the wait for the first frame of a link.
+const helloTimeout = 2 * time.Second
+
+// ServeHTTP takes links of guards.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	link, err := wire.Accept(w, r, nil)
+	if err != nil {
+		e.opt.Log.Warn("link not accepted", "remote", r.RemoteAddr, "err", err)
+		return
+	}
+	go e.Serve(context.Background(), link)
+}
+
+// Serve reads one link until it ends.
+func (e *Entry) Serve(ctx context.Context, link wire.Link) {
+	hello, err := e.greet(ctx, link)
+	if err != nil {
+		e.opt.Metrics.Inc(telemetry.LinksRefused)
+		e.opt.Log.Warn("link refused", "err", err)
+		link.Close("no hello")
+		return
+	}
+	e.open(hello, link)
+	for {
+		f, err := link.Recv(ctx)
+		if err != nil {
+			break
+		}
+		e.receive(hello, link, f)
+	}
+	e.closed(hello, link)
+}
+
+func (e *Entry) greet(ctx context.Context, link wire.Link) (*wire.RunHello, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	f, err := link.Recv(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("wait for hello: %w", err)
+	}
+	if f.RunHello == nil || f.RunHello.Incarnation == "" {
+		return nil, errors.New("first frame is no hello")
+	}
+	if f.RunHello.Version < wire.MinVersion {
+		return nil, fmt.Errorf("protocol version %d is older than %d", f.RunHello.Version, wire.MinVersion)
+	}
+	return f.RunHello, nil
+}
+
+// open makes a link the current one of its guard and welcomes it.
+func (e *Entry) open(h *wire.RunHello, link wire.Link) {
+	version, _ := e.Config()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unlink(h.Incarnation, "superseded")
+	e.links[h.Incarnation] = link
+	e.opt.Metrics.Inc(telemetry.LinksOpened)
+	e.opt.Metrics.Set(telemetry.Guards, int64(len(e.links)))
+	e.opt.Log.Info("guard linked", "guard", h.Incarnation, "worker", h.Worker.ID, "usable", h.Worker.Usable)
+	e.post(h.Incarnation, &wire.Frame{RunWelcome: &wire.RunWelcome{
+		Version: wire.Version, Incarnation: e.id, Revision: version,
+		Entries: e.known, Software: telemetry.Version,
+	}})
+	e.stepLocked(func(now time.Duration, m *batch.Machine) { m.GuardUp(now, h) })
+}
+
+// closed tells the machine of a link that has ended, unless a newer one of the
+// same guard has taken its place.
+func (e *Entry) closed(h *wire.RunHello, link wire.Link) {
+	link.Close("done")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if current := e.links[h.Incarnation]; current != nil && current != link {
+		return
+	}
+	delete(e.links, h.Incarnation)
+	e.opt.Metrics.Inc(telemetry.LinksLost)
+	e.opt.Metrics.Set(telemetry.Guards, int64(len(e.links)))
+	e.opt.Log.Info("guard link ended", "guard", h.Incarnation)
+	e.stepLocked(func(now time.Duration, m *batch.Machine) { m.GuardDown(now, h.Incarnation) })
+}
+
+func (e *Entry) receive(h *wire.RunHello, link wire.Link, f *wire.Frame) {
+	if f.Desired != nil {
+		e.fromGuard(link, f.Desired)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.links[h.Incarnation] != link {
+		return // a newer link has taken its place
+	}
+	switch {
+	case f.RunsEnded != nil:
+		e.countEnds(f.RunsEnded)
+		e.stepLocked(func(now time.Duration, m *batch.Machine) { m.Ended(now, h.Incarnation, f.RunsEnded) })
+	case f.GuardBeat != nil:
+		if w := f.GuardBeat.Worker; w != nil {
+			e.opt.Log.Info("worker changed", "guard", h.Incarnation, "worker", w.ID, "usable", w.Usable, "leaving", w.Leaving)
+		}
+		e.stepLocked(func(now time.Duration, m *batch.Machine) { m.Beat(now, h.Incarnation, f.GuardBeat) })
+	default:
+		e.opt.Metrics.Inc(telemetry.FramesUnknown)
+	}
+}
+
+func (e *Entry) countEnds(r *wire.RunsEnded) {
+	for i := range r.Ends {
+		end := &r.Ends[i]
+		if end.Kind == 0 {
+			e.opt.Metrics.Inc(telemetry.TasksAnswered)
+			e.opt.Metrics.Observe(telemetry.TaskRunLatency, time.Duration(end.RunMs)*time.Millisecond)
+			continue
+		}
+		e.opt.Metrics.Inc(telemetry.TasksNotStarted)
+		e.opt.Log.Info("run ended", "job", end.Job, "step", end.Step, "task", end.Index, "run", end.Run, "outcome", end.Kind, "ran", end.Ran)
+	}
+}
+
+// Config gives the version and document in force; version 0 before the first.
+func (e *Entry) Config() (int64, []byte) {
+	e.configMu.Lock()
+	defer e.configMu.Unlock()
+	return e.version, e.document
+}
+
+// Offer puts a newer document in force and tells the guards, which fetch it and
+// relay it to entries that cannot read the store. An older one is passed over: a
+// process never goes back.
+func (e *Entry) Offer(version int64, document []byte) error {
+	e.configMu.Lock()
+	defer e.configMu.Unlock()
+	if version <= e.version {
+		return nil
+	}
+	if err := e.opt.Apply(version, document); err != nil {
+		return fmt.Errorf("configuration %d: %w", version, err)
+	}
+	e.version, e.document = version, document
+	e.opt.Metrics.Inc(telemetry.ConfigsApplied)
+	e.opt.Metrics.Set(telemetry.ConfigRevision, version)
+	e.opt.Log.Info("configuration in force", "version", version)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id := range e.links {
+		e.post(id, &wire.Frame{Desired: &wire.Desired{Version: version}}) // who needs it asks
+	}
+	return nil
+}
+
+// fromGuard takes a configuration from a guard, or sends it the one in force if
+// it has an older one.
+func (e *Entry) fromGuard(link wire.Link, d *wire.Desired) {
+	if len(d.Document) > 0 {
+		if err := e.Offer(d.Version, d.Document); err != nil {
+			e.opt.Log.Error("configuration of a guard refused", "err", err)
+		}
+		return
+	}
+	version, document := e.Config()
+	if version > d.Version {
+		_ = link.Send(&wire.Frame{Desired: &wire.Desired{Version: version, Document: document}}) // a lost link brings a new hello
+	}
+}
+
+// SetEntries notes where entries are, this one among them, and tells the guards
+// of a change.
+func (e *Entry) SetEntries(addresses []string) {
+	if !slices.Contains(addresses, e.opt.Address) {
+		addresses = append(addresses, e.opt.Address)
+	}
+	slices.Sort(addresses)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if slices.Equal(addresses, e.known) {
+		return
+	}
+	e.known = addresses
+	e.opt.Log.Info("entries changed", "entries", len(addresses))
+	e.machine.SetEntries(len(addresses))
+	for id := range e.links {
+		e.post(id, &wire.Frame{Entries: &wire.Entries{Addresses: addresses}})
+	}
+}
--- /dev/null
+++ b/internal/batchnode/guard.go
@@ -0,0 +1,201 @@
+package batchnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"wigeontray/internal/identity"
+	"wigeontray/internal/runs"
+	"wigeontray/internal/telemetry"
+	"wigeontray/internal/wire"
+)
+
+// Worker is how a guard speaks to its worker. The calls end with ctx; their
+// verdict is NoAnswer if no answer came.
+type Worker interface {
+	Start(ctx context.Context, s *runs.Start) runs.StartAnswer
+	Stop(ctx context.Context, s *runs.Stop) (v runs.Verdict, clockMs int64)
+	Hold(ctx context.Context, h *runs.Hold) *runs.HoldAnswer
+}
+
+// Bounds in time of calls to the worker, which is on the guard's own machine and
+// answers within a few milliseconds.
+const (
+	// startTimeout is when a start counts as unanswered. The task then goes
+	// elsewhere, so it is short; a pause of the guard's processor must fit in.
+	startTimeout = 150 * time.Millisecond
+	stopTimeout  = 150 * time.Millisecond
+	// holdTimeout comes on top of the time that a Hold waits.
+	holdTimeout = 200 * time.Millisecond
+)
+
+// GuardOptions configures a Guard.
+type GuardOptions struct {
+	Name    string   // of the process, for its incarnation
+	Entries []string // addresses of entries, to begin with
+	Worker  Worker
+	Clock   Clock
+	Metrics *telemetry.Registry
+	Log     *log.Logger
+	// Dial opens a link to an entry's address.
+	Dial func(ctx context.Context, address string) (wire.Link, error)
+	// Lookup lists the addresses of entries that have registered. It is asked only
+	// while the guard has no link.
+	Lookup func(ctx context.Context) ([]string, error)
+}
+
+// Guard runs the tasks of one worker. Its methods may be called from many
+// goroutines.
+type Guard struct {
+	opt GuardOptions
+	id  identity.Incarnation
+	ctx context.Context
+
+	mu       sync.Mutex
+	machine  *runs.Machine
+	links    map[identity.Incarnation]*guardLink
+	dialing  map[string]bool
+	alarm    *alarm
+	version  int64 // newest configuration that was seen
+	document []byte
+	asked    time.Duration // when an entry was last asked for its configuration
+	changed  chan struct{} // signalled after each step, for Drain
+	work     sync.WaitGroup
+}
+
+// NewGuard returns a guard whose worker has not reported yet.
+func NewGuard(opt GuardOptions) *Guard {
+	g := &Guard{
+		opt:     opt,
+		id:      identity.NewIncarnation(opt.Name),
+		machine: runs.New(runs.Options{}),
+		links:   make(map[identity.Incarnation]*guardLink),
+		dialing: make(map[string]bool),
+		changed: make(chan struct{}, 1),
+	}
+	g.alarm = newAlarm(opt.Clock, func() {
+		g.step(func(now time.Duration, m *runs.Machine) { m.Tick(now) })
+	})
+	return g
+}
+
+// Run links to entries until ctx ends, and returns when all work has ended.
+func (g *Guard) Run(ctx context.Context) {
+	g.mu.Lock()
+	g.ctx = ctx
+	g.mu.Unlock()
+	g.AddEntries(g.opt.Entries)
+	g.lookup(ctx)
+	g.mu.Lock()
+	for _, l := range g.links {
+		l.link.Close("guard stops")
+	}
+	g.alarm.stop()
+	g.mu.Unlock()
+	g.work.Wait()
+}
+
+func (g *Guard) step(event func(now time.Duration, m *runs.Machine)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stepLocked(event)
+}
+
+func (g *Guard) stepLocked(event func(now time.Duration, m *runs.Machine)) {
+	now := g.opt.Clock()
+	before := g.machine.Worker()
+	event(now, g.machine)
+	for _, a := range g.machine.Actions(now) {
+		g.carryOut(&a)
+	}
+	if w := g.machine.Worker(); w.ID != before.ID || w.Usable != before.Usable || w.Leaving != before.Leaving {
+		g.opt.Log.Info("worker changed", "worker", w.ID, "usable", w.Usable, "leaving", w.Leaving, "cpu", w.Capacity.CPU)
+	}
+	g.alarm.set(g.machine.NextTick())
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Guard) carryOut(a *runs.Action) {
+	switch {
+	case a.Start != nil:
+		g.opt.Metrics.Inc(telemetry.TasksStarted)
+		go g.start(a.Start)
+	case a.Stop != nil:
+		go g.stop(a.Stop)
+	case a.Hold != nil:
+		go g.hold(a.Hold)
+	case a.Send != nil:
+		if l := g.links[a.Send.To]; l != nil {
+			_ = l.link.Send(a.Send.Frame) // the reader of a lost link tells the machine
+		}
+	}
+}
+
+func (g *Guard) start(s *runs.Start) {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	answer := g.opt.Worker.Start(ctx, s)
+	if answer.Verdict != runs.Done {
+		g.opt.Log.Info("start not taken", "job", s.Key.Job, "step", s.Key.Step, "task", s.Key.Index, "run", s.Key.Run, "verdict", answer.Verdict)
+	}
+	g.step(func(now time.Duration, m *runs.Machine) { m.Started(now, s.Key, answer) })
+}
+
+func (g *Guard) stop(s *runs.Stop) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	v, clockMs := g.opt.Worker.Stop(ctx, s)
+	g.step(func(now time.Duration, m *runs.Machine) { m.Stopped(now, s.Key, v, clockMs) })
+}
+
+func (g *Guard) hold(h *runs.Hold) {
+	ctx, cancel := context.WithTimeout(context.Background(), h.Wait+holdTimeout)
+	defer cancel()
+	answer := g.opt.Worker.Hold(ctx, h)
+	if answer.Verdict != runs.Done {
+		g.opt.Log.Info("worker did not renew", "worker", h.Worker, "verdict", answer.Verdict)
+	}
+	g.step(func(now time.Duration, m *runs.Machine) { m.Held(now, h.Worker, answer) })
+}
+
+// Heard takes a report of the worker.
+func (g *Guard) Heard(rep *runs.Report) {
+	g.step(func(now time.Duration, m *runs.Machine) { m.Heard(now, rep) })
+}
+
+// Left notes that a worker has ended as it had announced.
+func (g *Guard) Left(id string) {
+	g.step(func(now time.Duration, m *runs.Machine) { m.Left(now, id) })
+}
+
+// Drain begins a planned stop and waits until nothing runs and the worker knows
+// that each end was noted, or until ctx ends.
+func (g *Guard) Drain(ctx context.Context) {
+	g.step(func(now time.Duration, m *runs.Machine) { m.Drain(now) })
+	for !g.settled() {
+		select {
+		case <-g.changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Guard) settled() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Settled()
+}
+
+// spread draws a time between half of d and d, so that guards do not act at the
+// same moment.
+func spread(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
--- /dev/null
+++ b/internal/batchnode/guardlink.go
@@ -0,0 +1,258 @@
+package batchnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"wigeontray/internal/identity"
+	"wigeontray/internal/runs"
+	"wigeontray/internal/telemetry"
+	"wigeontray/internal/wire"
+)
+
+// Timing of links.
+const (
+	dialTimeout = time.Second // an address that is dark does not answer at all
+	redialMin   = 100 * time.Millisecond
+	redialMax   = 2 * time.Second
+	// forgetAfter is how long an address is dialed without success before it is
+	// given up. It outlasts an entry's restart and a long cut; the store and the
+	// other entries tell the address again if it lives.
+	forgetAfter = time.Minute
+	// lookupEvery is the pause between two looks at the store of a guard without
+	// a link.
+	lookupEvery = 2 * time.Second
+	// lookupFirst is how long a guard tries what it knows before.
+	lookupFirst = time.Second
+)
+
+// guardLink is a link to one entry.
+type guardLink struct {
+	link    wire.Link
+	entry   identity.Incarnation
+	version int64 // of the configuration that the entry has
+}
+
+// AddEntries begins to link to addresses that are not linked to yet.
+func (g *Guard) AddEntries(addresses []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range addresses {
+		if g.ctx == nil || g.ctx.Err() != nil || g.dialing[a] {
+			continue
+		}
+		g.dialing[a] = true
+		g.work.Go(func() { g.keepLinked(g.ctx, a) })
+	}
+}
+
+// keepLinked holds a link to one address until ctx ends or the address is given
+// up.
+func (g *Guard) keepLinked(ctx context.Context, address string) {
+	defer g.forget(address)
+	pause, reached := redialMin, time.Now()
+	for ctx.Err() == nil {
+		l, err := g.connect(ctx, address)
+		if err == nil {
+			g.serve(ctx, l)
+			pause, reached = redialMin, time.Now()
+		} else if time.Since(reached) > forgetAfter {
+			g.opt.Log.Info("address of an entry given up", "address", address, "err", err)
+			return
+		}
+		sleep(ctx, spread(pause))
+		pause = min(2*pause, redialMax)
+	}
+}
+
+func (g *Guard) forget(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.dialing, address)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (g *Guard) connect(ctx context.Context, address string) (*guardLink, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	link, err := g.opt.Dial(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("dial entry %s: %w", address, err)
+	}
+	l, err := g.greet(ctx, link)
+	if err != nil {
+		link.Close("no welcome")
+		return nil, fmt.Errorf("entry %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// greet exchanges hello and welcome. The hello is sent under the lock, so that
+// what the machine sends afterwards is newer.
+func (g *Guard) greet(ctx context.Context, link wire.Link) (*guardLink, error) {
+	g.mu.Lock()
+	hello := &wire.RunHello{
+		Version: wire.Version, MinVersion: wire.MinVersion, Incarnation: g.id,
+		Worker: g.machine.Worker(), Load: g.machine.Load(g.opt.Clock(), ""),
+		Revision: g.version, Software: telemetry.Version,
+	}
+	err := link.Send(&wire.Frame{RunHello: hello})
+	g.mu.Unlock()
+	if err != nil {
+		return nil, fmt.Errorf("send hello: %w", err)
+	}
+	f, err := link.Recv(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("wait for welcome: %w", err)
+	}
+	if f.RunWelcome == nil || f.RunWelcome.Incarnation == "" {
+		return nil, errors.New("first frame is no welcome")
+	}
+	l := &guardLink{link: link, entry: f.RunWelcome.Incarnation, version: f.RunWelcome.Revision}
+	g.open(l)
+	g.AddEntries(f.RunWelcome.Entries)
+	return l, nil
+}
+
+// open makes a link the current one of its entry, and tells the entry what has
+// changed since the hello.
+func (g *Guard) open(l *guardLink) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if old := g.links[l.entry]; old != nil {
+		old.link.Close("superseded")
+	}
+	g.links[l.entry] = l
+	g.opt.Metrics.Inc(telemetry.LinksOpened)
+	g.opt.Log.Info("linked", "entry", l.entry)
+	g.stepLocked(func(now time.Duration, m *runs.Machine) {
+		m.LinkUp(now, l.entry)
+		w := m.Worker()
+		_ = l.link.Send(&wire.Frame{GuardBeat: &wire.GuardBeat{Load: m.Load(now, l.entry), Worker: &w}}) // see carryOut
+	})
+	g.balance(l)
+}
+
+// serve reads a link until it ends.
+func (g *Guard) serve(ctx context.Context, l *guardLink) {
+	for {
+		f, err := l.link.Recv(ctx)
+		if err != nil {
+			break
+		}
+		g.receive(l, f)
+	}
+	l.link.Close("done")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.links[l.entry] != l {
+		return
+	}
+	delete(g.links, l.entry)
+	g.opt.Metrics.Inc(telemetry.LinksLost)
+	g.opt.Log.Info("link ended", "entry", l.entry)
+	g.stepLocked(func(now time.Duration, m *runs.Machine) { m.LinkDown(now, l.entry) })
+}
+
+func (g *Guard) receive(l *guardLink, f *wire.Frame) {
+	if f.Entries != nil {
+		g.AddEntries(f.Entries.Addresses)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.links[l.entry] != l {
+		return // a newer link has taken its place
+	}
+	switch {
+	case f.RunTasks != nil:
+		g.stepLocked(func(now time.Duration, m *runs.Machine) { m.Run(now, l.entry, f.RunTasks) })
+	case f.StopRuns != nil:
+		g.stepLocked(func(now time.Duration, m *runs.Machine) { m.StopJob(now, l.entry, f.StopRuns) })
+	case f.EntryBeat != nil:
+		g.stepLocked(func(now time.Duration, m *runs.Machine) { m.Beat(now, l.entry, f.EntryBeat) })
+	case f.Desired != nil:
+		g.takeConfig(l, f.Desired)
+	default:
+		g.opt.Metrics.Inc(telemetry.FramesUnknown)
+	}
+}
+
+// relayAfter is how long entries have to get a configuration by themselves. Sent
+// at once, each would get it from every guard.
+const relayAfter = 300 * time.Millisecond
+
+// takeConfig keeps the newest configuration and relays it to entries that have
+// an older one: they may be cut off from the store.
+func (g *Guard) takeConfig(from *guardLink, d *wire.Desired) {
+	from.version = max(from.version, d.Version)
+	switch {
+	case d.Version <= g.version:
+	case len(d.Document) == 0:
+		g.ask(from)
+	default:
+		g.version, g.document = d.Version, d.Document
+		g.opt.Metrics.Set(telemetry.ConfigRevision, d.Version)
+		time.AfterFunc(relayAfter, g.relay)
+	}
+}
+
+// ask asks an entry for its configuration, unless another was just asked.
+func (g *Guard) ask(l *guardLink) {
+	now := g.opt.Clock()
+	if now-g.asked < relayAfter {
+		return
+	}
+	g.asked = now
+	_ = l.link.Send(&wire.Frame{Desired: &wire.Desired{Version: g.version}}) // see carryOut
+}
+
+func (g *Guard) relay() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range g.links {
+		g.balance(l)
+	}
+}
+
+// balance brings the older of guard and entry to the configuration of the newer.
+func (g *Guard) balance(l *guardLink) {
+	switch {
+	case g.version > l.version:
+		l.version = g.version
+		_ = l.link.Send(&wire.Frame{Desired: &wire.Desired{Version: g.version, Document: g.document}}) // see carryOut
+	case g.version < l.version:
+		g.ask(l)
+	}
+}
+
+// lookup asks the store for entries while there is no link, until ctx ends.
+func (g *Guard) lookup(ctx context.Context) {
+	sleep(ctx, lookupFirst)
+	for ctx.Err() == nil {
+		if g.linked() == 0 {
+			found, err := g.opt.Lookup(ctx)
+			if err != nil {
+				g.opt.Log.Warn("entries not found in the store", "err", err)
+			}
+			g.AddEntries(found)
+		}
+		sleep(ctx, spread(lookupEvery))
+	}
+}
+
+func (g *Guard) linked() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.links)
+}
--- /dev/null
+++ b/internal/batchnode/upkeep.go
@@ -0,0 +1,172 @@
+package batchnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"wigeontray/internal/store"
+)
+
+// Timing of what an entry does at the store.
+const (
+	// registrationTTL is how long an entry that is gone stays listed.
+	registrationTTL = 6 * time.Second
+	renewEvery      = 2 * time.Second
+	listEvery       = 2 * time.Second
+	// storePause is the wait after a call that failed: the store may be down for
+	// long, and each call counts.
+	storePause = 400 * time.Millisecond
+)
+
+// Source is where the operators' configuration is followed.
+type Source struct {
+	Store store.Store
+	Key   string // that holds the whole configuration
+	// Version reads a document's version.
+	Version func(document []byte) (int64, error)
+	Log     *log.Logger
+}
+
+// Follow offers each version of the configuration until ctx ends.
+func (s *Source) Follow(ctx context.Context, offer func(version int64, document []byte) error) {
+	up := true
+	for ctx.Err() == nil {
+		err := s.followOnce(ctx, offer, func() { s.logChange(&up, true, nil) })
+		if err != nil && ctx.Err() == nil {
+			s.logChange(&up, errors.Is(err, store.ErrCompacted), err)
+			sleep(ctx, spread(storePause))
+		}
+	}
+}
+
+func (s *Source) logChange(up *bool, now bool, err error) {
+	if *up == now {
+		return
+	}
+	*up = now
+	if now {
+		s.Log.Info("store answers again")
+		return
+	}
+	s.Log.Warn("store does not answer", "err", err)
+}
+
+func (s *Source) followOnce(ctx context.Context, offer func(int64, []byte) error, answered func()) error {
+	kvs, revision, err := s.Store.Range(ctx, s.Key)
+	if err != nil {
+		return fmt.Errorf("read configuration: %w", err)
+	}
+	answered()
+	for _, kv := range kvs {
+		s.offer(kv, offer)
+	}
+	out := make(chan store.Batch, 1)
+	failed := make(chan error, 1)
+	go func() { failed <- s.Store.Watch(ctx, s.Key, revision, out) }()
+	for b := range out {
+		for _, e := range b.Events {
+			if !e.Deleted {
+				s.offer(e.KV, offer)
+			}
+		}
+	}
+	if err := <-failed; err != nil {
+		return fmt.Errorf("watch configuration: %w", err)
+	}
+	return nil
+}
+
+func (s *Source) offer(kv store.KV, offer func(int64, []byte) error) {
+	if kv.Key != s.Key {
+		return
+	}
+	version, err := s.Version(kv.Value)
+	if err == nil {
+		err = offer(version, kv.Value)
+	}
+	if err != nil {
+		s.Log.Error("configuration refused, the last one stays in force", "revision", kv.ModRevision, "err", err)
+	}
+}
+
+// Registration keeps an entry's address in the store.
+type Registration struct {
+	Store   store.Store
+	Key     string // of this process alone
+	Address string
+	Log     *log.Logger
+}
+
+// Keep registers until ctx ends, and then takes the registration back.
+func (r *Registration) Keep(ctx context.Context) {
+	var lease store.LeaseID
+	for ctx.Err() == nil {
+		pause := renewEvery
+		if err := r.renew(ctx, &lease); err != nil && ctx.Err() == nil {
+			r.Log.Warn("not registered in the store", "err", err)
+			pause = spread(storePause)
+		}
+		sleep(ctx, pause)
+	}
+	if lease != 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), storePause)
+		defer cancel()
+		if err := r.Store.Revoke(ctx, lease); err != nil {
+			r.Log.Warn("registration not taken back; it lapses by itself", "err", err)
+		}
+	}
+}
+
+func (r *Registration) renew(ctx context.Context, lease *store.LeaseID) error {
+	if *lease != 0 {
+		err := r.Store.KeepAlive(ctx, *lease)
+		if !errors.Is(err, store.ErrLeaseGone) {
+			return err
+		}
+		*lease = 0
+	}
+	id, err := r.Store.Grant(ctx, registrationTTL)
+	if err != nil {
+		return fmt.Errorf("make a lease: %w", err)
+	}
+	var conflict *store.ConflictError
+	_, err = r.Store.Put(ctx, r.Key, []byte(r.Address), 0, id)
+	if errors.As(err, &conflict) {
+		// An earlier write whose answer was lost, under a lease that nobody renews.
+		_, err = r.Store.Put(ctx, r.Key, []byte(r.Address), conflict.Current.ModRevision, id)
+	}
+	if err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	*lease = id
+	return nil
+}
+
+// Addresses reads where entries are registered.
+func Addresses(ctx context.Context, st store.Store, prefix string) ([]string, error) {
+	kvs, _, err := st.Range(ctx, prefix)
+	if err != nil {
+		return nil, fmt.Errorf("list entries: %w", err)
+	}
+	out := make([]string, 0, len(kvs))
+	for _, kv := range kvs {
+		out = append(out, string(kv.Value))
+	}
+	return out, nil
+}
+
+// KeepListed passes on the list of entries, as it changes, until ctx ends. A
+// failure leaves the last list: the store's word alone does not make an entry
+// gone.
+func KeepListed(ctx context.Context, st store.Store, prefix string, found func([]string)) {
+	for ctx.Err() == nil {
+		if list, err := Addresses(ctx, st, prefix); err == nil && len(list) > 0 {
+			found(list)
+		}
+		sleep(ctx, spread(2*listEvery))
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,6 +35,7 @@
 type commands struct {
 	Serve      serveCmd      `cmd:"" help:"Run an entry by a settings file until SIGTERM."`
 	Standalone standaloneCmd `cmd:"" help:"Run entry, guards, sample upstreams and store in one process and serve two sample jobs."`
+	Platform   platformCmd   `cmd:"" help:"Run an entry on the users' platform until SIGTERM."`
 	Submit     submitCmd     `cmd:"" help:"Submit a job and print its answer as JSON."`
 	Status     statusCmd     `cmd:"" help:"Print what is in force at an entry as JSON."`
 	Check      checkCmd      `cmd:"" help:"Check settings and records without using them."`
--- a/internal/cli/guard.go
+++ b/internal/cli/guard.go
@@ -4,17 +4,20 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 
 	"wigeontray/internal/node"
 	"wigeontray/internal/operator"
 	"wigeontray/internal/settings"
 	"wigeontray/internal/telemetry"
+	"wigeontray/platform"
 )
 
 // guardCommand is the command line of wigeontray-guard.
 type guardCommand struct {
-	Config  string `required:"" xor:"do" type:"path" placeholder:"FILE" help:"Settings file."`
-	Version bool   `required:"" xor:"do" help:"Print the version."`
+	Config   string `required:"" xor:"do" type:"path" placeholder:"FILE" help:"Settings file."`
+	Version  bool   `required:"" xor:"do" help:"Print the version."`
+	Platform bool   `required:"" xor:"do" help:"Run on the users' platform, by the settings file that WIGEONTRAY_CONFIG names."`
 }
 
 // GuardMain runs the command line of the guard binary and returns its exit
@@ -30,6 +33,9 @@
 		fmt.Fprintln(stdout, name, telemetry.Version)
 		return operator.ExitOK
 	}
+	if c.Platform {
+		return exitCode(name, stderr, runPlatform(ctx, platform.RunGuard, os.Getenv(configEnv), stdout))
+	}
 	return exitCode(name, stderr, serveGuard(ctx, c.Config, stderr))
 }
 
--- /dev/null
+++ b/internal/cli/platform.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"wigeontray/internal/settings"
+	"wigeontray/platform"
+)
+
+// configEnv names the variable that holds the path of the settings file where the
+// flag is left out.
+const configEnv = "WIGEONTRAY_CONFIG"
+
+type platformCmd struct {
+	Config string `required:"" type:"path" env:"WIGEONTRAY_CONFIG" placeholder:"FILE" help:"Settings file."`
+}
+
+// Run serves callers until a signal asks for a planned stop.
+func (c *platformCmd) Run(e *env) error {
+	// A changed settings file is read at the next start; the signal must not end
+	// the process.
+	signal.Ignore(syscall.SIGHUP)
+	return runPlatform(e.ctx, platform.RunEntry, c.Config, e.stdout)
+}
+
+// runPlatform runs one of the platform's roles. Its logs go to standard output.
+func runPlatform(ctx context.Context, role func(context.Context, string, io.Writer) error, config string, logs io.Writer) error {
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	err := role(ctx, config, logs)
+	var wrong *settings.Error
+	if errors.As(err, &wrong) {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return err
+}
--- a/internal/pages/code_test.go
+++ b/internal/pages/code_test.go
@@ -92,7 +92,7 @@
 func appendParts(parts []reflect.Type, message reflect.Type, known map[reflect.Type]bool) []reflect.Type {
 	for i := range message.NumField() {
 		t := message.Field(i).Type
-		if t.Kind() == reflect.Slice {
+		if t.Kind() == reflect.Slice || t.Kind() == reflect.Pointer {
 			t = t.Elem()
 		}
 		if t.Kind() == reflect.Struct && !known[t] {
@@ -125,6 +125,8 @@
 			return "bytes"
 		}
 		return "array of " + wireType(t.Elem())
+	case reflect.Pointer:
+		return wireType(t.Elem())
 	case reflect.Struct:
 		return code(t.Name())
 	case reflect.String:
--- /dev/null
+++ b/internal/runs/api.go
@@ -0,0 +1,176 @@
+// Package runs owns the tasks that run on one worker under a lease: room, starts,
+// ends, stops, and for which entries the guard still works. It is a state machine
+// under an explicit clock, without goroutine, socket or lock. A guard feeds it
+// what happens and carries out the actions that it returns.
+//
+// A task may be run again from the start, but never twice at the same time. The
+// machine's final word on a run, a wire.RunEnd, therefore comes only once the run
+// provably neither is at the worker nor will come there.
+//
+// Times are durations on the guard's clock, which counts the time in which its
+// machine was suspended.
+//
+// The package may import errkind, identity, sched and wire.
+package runs
+
+import (
+	"time"
+
+	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// Key names one run of one task.
+type Key struct {
+	Job         string
+	Step, Index int
+	Run         int64
+}
+
+// Report is what a worker says of itself.
+type Report struct {
+	ID       string // names one life of the worker
+	Seq      int64  // grows with each report of that life
+	ClockMs  int64  // the worker's clock, in milliseconds
+	Draining bool
+	Service  string
+	Domain   string // failure domain
+	Rack     string
+	Labels   []string
+	Capacity sched.Room
+}
+
+// Lease is what every order to the worker carries.
+type Lease struct {
+	Worker  string // the life that is meant; any other refuses
+	Token   int64  // fencing token
+	UntilMs int64  // end of the lease on the worker's clock; 0 leaves it as it is
+}
+
+// Start orders a run. Its answer goes to Machine.Started.
+type Start struct {
+	Lease
+	Key  Key
+	Text string
+}
+
+// Stop orders the end of a run, or that it is never started. Its answer goes to
+// Machine.Stopped.
+type Stop struct {
+	Lease
+	Key Key
+}
+
+// Hold renews the lease and asks what runs and what has ended. Its answer goes
+// to Machine.Held. Only one is under way at a time.
+type Hold struct {
+	Lease
+	Ack  int64         // ends up to this number are noted
+	Wait time.Duration // the worker answers when something ends, or after this time
+}
+
+// Send is a frame for an entry.
+type Send struct {
+	To    identity.Incarnation
+	Frame *wire.Frame
+}
+
+// Action is one thing that the owner of a Machine must do. Exactly one field is
+// set.
+type Action struct {
+	Start *Start
+	Stop  *Stop
+	Hold  *Hold
+	Send  *Send
+}
+
+// Verdict is a worker's answer to an order.
+type Verdict uint8
+
+// Verdicts. All but Done and NoAnswer mean that the order had no effect.
+const (
+	Done        Verdict = iota
+	NoAnswer            // it may have been carried out, or may be later
+	NoRoom              // the worker has no room for the run
+	Outdated            // the worker has seen this run or a later one
+	LeaseOver           // the lease had ended when the order came
+	FencedOff           // the worker has seen a greater fencing token
+	OtherWorker         // the address belongs to another life of a worker
+	Unhealthy           // the worker takes no orders now
+	Malformed           // the worker does not understand the order
+)
+
+// StartAnswer answers a Start.
+type StartAnswer struct {
+	Verdict Verdict
+	ClockMs int64 // the worker's clock; 0 if it was not told
+}
+
+// How tells how a run ended.
+type How uint8
+
+// Ways in which a run ends.
+const (
+	EndDone How = iota
+	EndFailed
+	EndStopped
+	EndLapsed // its lease ended
+)
+
+// Ended is an end that a worker lists.
+type Ended struct {
+	Number int64 // grows by one in each life of the worker
+	Key    Key
+	How    How
+}
+
+// Active is a run that a worker lists as present.
+type Active struct {
+	Key     Key
+	Percent int64 // of its work
+}
+
+// HoldAnswer answers a Hold.
+type HoldAnswer struct {
+	Verdict Verdict
+	ClockMs int64
+	Active  []Active
+	Ended   []Ended
+}
+
+// Options of a Machine.
+type Options struct {
+	Lease time.Duration // of everything on the worker; LeaseTime if 0
+}
+
+// Bounds in time of the machine.
+const (
+	// LeaseTime is how long the worker goes on without word from the guard. A
+	// shorter one frees the tasks of a lost guard sooner; it must outlast two
+	// renewals and a pause of the guard's processor of about 100 ms.
+	LeaseTime = 500 * time.Millisecond
+	// renewEvery is how long a Hold waits for an end.
+	renewEvery = 200 * time.Millisecond
+	// PermitTime is how old the newest word of an entry may be while the guard
+	// works for it. It outlasts two beats of the entry.
+	PermitTime = 600 * time.Millisecond
+	// BeatEvery is how often each end of a link with tasks is heard from.
+	BeatEvery = 200 * time.Millisecond
+	// StopTime bounds how long an acknowledged stop takes at the worker, with
+	// margin.
+	StopTime = 100 * time.Millisecond
+	// LossTime is how long after the loss of a guard its runs may go on: a guard
+	// cut off from an entry stops them when the permit ends; one that is gone
+	// lets the lease run out. The margin covers clocks that are 2% slow.
+	LossTime = PermitTime + LeaseTime + StopTime + 50*time.Millisecond
+	// retryOrder is the pause before an order without an answer is repeated.
+	retryOrder = 30 * time.Millisecond
+	// clockSlack is by how much a worker's clock may be slow over one lease.
+	clockSlack = 20 * time.Millisecond
+	// probeEvery is how often a worker that does not answer is asked again.
+	probeEvery = 500 * time.Millisecond
+	// silentHolds is how many Holds in a row go unanswered before a worker counts
+	// as unreachable. One may be lost with its connection.
+	silentHolds = 2
+)
--- /dev/null
+++ b/internal/runs/tasks.go
@@ -0,0 +1,208 @@
+package runs
+
+import (
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/wire"
+)
+
+// LinkUp notes that an entry's link is ready.
+func (m *Machine) LinkUp(now time.Duration, name identity.Incarnation) {
+	p := m.entries[name]
+	if p == nil {
+		p = new(permit)
+		m.entries[name] = p
+	}
+	p.linked, p.waiting, p.seen = true, false, 0
+	p.newest = now
+}
+
+// LinkDown notes that an entry's link was lost. Its runs are stopped: the entry
+// may be gone, and its callers then send their jobs to another one.
+func (m *Machine) LinkDown(now time.Duration, name identity.Incarnation) {
+	p := m.entries[name]
+	if p == nil {
+		return
+	}
+	p.linked = false
+	m.stopAll(now, name, withdrawn(errkind.Cancelled))
+	m.forgetIdle(name)
+}
+
+// Run takes tasks from an entry. What does not fit is refused at once.
+func (m *Machine) Run(now time.Duration, from identity.Incarnation, t *wire.RunTasks) {
+	p := m.entries[from]
+	if p == nil || !p.linked {
+		return
+	}
+	p.seen = t.Seq
+	kind := m.refusal(now, p, t)
+	for i := range t.Tasks {
+		m.begin(now, from, t, &t.Tasks[i], kind)
+	}
+}
+
+// refusal tells why none of the tasks may start, or None. A frame that was held
+// up on its way is refused by its age: its job may have been sent again and run
+// elsewhere meanwhile.
+func (m *Machine) refusal(now time.Duration, p *permit, t *wire.RunTasks) errkind.Kind {
+	p.hear(t.ClockMs)
+	switch {
+	case now-milliseconds(t.ClockMs) > PermitTime:
+		return errkind.Fenced
+	case t.LeftMs <= 0:
+		return errkind.DeadlineExpired
+	case m.worker.Leaving:
+		return errkind.Draining
+	case !m.worker.Usable:
+		return errkind.NoWorkers
+	}
+	return errkind.None
+}
+
+func (p *permit) hear(clockMs int64) { p.newest = max(p.newest, milliseconds(clockMs)) }
+
+func (m *Machine) begin(now time.Duration, from identity.Incarnation, t *wire.RunTasks, task *wire.RunTask, kind errkind.Kind) {
+	k := Key{Job: t.Job, Step: task.Step, Index: task.Index, Run: task.Run}
+	if m.runs[k] != nil {
+		return
+	}
+	switch {
+	case kind != errkind.None:
+	case !m.free().Holds(task.Need):
+		kind = errkind.Busy
+	case m.otherRun(k):
+		kind = errkind.Busy
+	}
+	if kind != errkind.None {
+		m.tell(from, k, notRun(kind))
+		return
+	}
+	left := milliseconds(t.LeftMs)
+	r := &run{key: k, entry: from, need: task.Need, text: t.Text, deadline: now + left, ordered: now}
+	m.add(r)
+	m.noteOrder(now)
+	m.actions = append(m.actions, Action{Start: &Start{Lease: m.leaseFrom(now), Key: k, Text: t.Text}})
+}
+
+// otherRun tells whether another run of the same task may be at this worker.
+func (m *Machine) otherRun(k Key) bool {
+	for o := range m.runs {
+		if o.Job == k.Job && o.Step == k.Step && o.Index == k.Index {
+			return true
+		}
+	}
+	return false
+}
+
+// StopJob ends all runs of a job for the entry.
+func (m *Machine) StopJob(now time.Duration, from identity.Incarnation, s *wire.StopRuns) {
+	if p := m.entries[from]; p != nil {
+		p.hear(s.ClockMs)
+	}
+	for _, r := range m.runs {
+		if r.key.Job == s.Job && r.entry == from {
+			m.stop(now, r, withdrawn(errkind.Cancelled))
+		}
+	}
+}
+
+// Beat notes that an entry lives.
+func (m *Machine) Beat(_ time.Duration, from identity.Incarnation, b *wire.EntryBeat) {
+	if p := m.entries[from]; p != nil {
+		p.hear(b.ClockMs)
+		p.waiting = b.Waiting
+	}
+}
+
+func (m *Machine) stopAll(now time.Duration, entry identity.Incarnation, why wire.RunEnd) {
+	for _, r := range m.runs {
+		if r.entry == entry {
+			m.stop(now, r, why)
+		}
+	}
+}
+
+// stop ends a run. why is told once it is gone.
+func (m *Machine) stop(now time.Duration, r *run, why wire.RunEnd) {
+	if r.state == stopping {
+		return
+	}
+	r.state, r.why, r.stopAt = stopping, why, now
+	m.orderStop(now, r)
+}
+
+func (m *Machine) orderStop(now time.Duration, r *run) {
+	if r.stopSent || r.stopped > 0 || now < r.stopAt {
+		return
+	}
+	r.stopSent = true
+	l := m.leaseFrom(now)
+	l.UntilMs = 0
+	m.actions = append(m.actions, Action{Stop: &Stop{Lease: l, Key: r.key}})
+}
+
+// Started takes the answer to a Start.
+func (m *Machine) Started(now time.Duration, k Key, a StartAnswer) {
+	m.noteClock(now, a.ClockMs)
+	r := m.runs[k]
+	if r == nil || r.answered {
+		return
+	}
+	if a.Verdict == NoAnswer {
+		// It may be at the worker or come later. Stopped under the same number,
+		// it can do neither, and the task may run elsewhere.
+		m.stop(now, r, withdrawn(errkind.NotRun))
+		return
+	}
+	if a.Verdict == Done {
+		r.answered, r.present = true, now
+		if r.state == starting {
+			r.state = running
+		}
+		return
+	}
+	m.refused(now, r, a.Verdict)
+}
+
+// refused ends a run that the worker did not take.
+func (m *Machine) refused(now time.Duration, r *run, v Verdict) {
+	e := notRun(errkind.Busy)
+	switch v {
+	case Outdated:
+		e.Renumber = true
+	case Malformed:
+		e.Kind = errkind.BadRequest
+	case FencedOff, OtherWorker:
+		e.Kind = errkind.NoWorkers
+		m.lostGrip(now)
+	case Unhealthy:
+		e.Kind = errkind.UpstreamFailed
+	}
+	if r.state == stopping && !e.Renumber {
+		e.Kind = r.why.Kind
+	}
+	m.end(now, r, e)
+}
+
+// Stopped takes the answer to a Stop: whether the worker confirmed it.
+func (m *Machine) Stopped(now time.Duration, k Key, v Verdict, clockMs int64) {
+	m.noteClock(now, clockMs)
+	r := m.runs[k]
+	if r == nil {
+		return
+	}
+	r.stopSent = false
+	switch v {
+	case Done, Outdated:
+		r.stopped = now
+	case OtherWorker:
+		m.end(now, r, r.why)
+	default:
+		r.stopAt = now + retryOrder
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/runs/tick.go
@@ -0,0 +1,87 @@
+package runs
+
+import (
+	"time"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/wire"
+)
+
+// Tick does what is due: runs that are of no use any more, permits that have
+// ended, leases that have run out, beats and Holds.
+func (m *Machine) Tick(now time.Duration) {
+	m.tickRuns(now)
+	m.tickEntries(now)
+	m.pumpHold(now)
+}
+
+func (m *Machine) tickRuns(now time.Duration) {
+	for _, r := range m.runs {
+		switch {
+		case r.state != stopping && now >= r.deadline:
+			m.stop(now, r, withdrawn(errkind.TimedOut))
+		case r.state == stopping:
+			m.orderStop(now, r)
+		}
+	}
+	if m.life.silent >= silentHolds && now >= m.life.leaseEnd {
+		m.letGo(now)
+	}
+}
+
+// letGo settles the runs of a worker that has not answered for the time of its
+// lease: they have ended, whether it lives or not.
+func (m *Machine) letGo(now time.Duration) {
+	for _, r := range m.runs {
+		e := wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes}
+		if r.state == stopping {
+			e = r.why
+		}
+		m.end(now, r, e)
+	}
+}
+
+func (m *Machine) tickEntries(now time.Duration) {
+	for name, p := range m.entries {
+		if p.runs == 0 {
+			continue
+		}
+		if now-p.newest > PermitTime {
+			m.stopAll(now, name, withdrawn(errkind.Fenced))
+		}
+		if p.linked && now-p.told >= BeatEvery {
+			m.send(now, name, &wire.Frame{GuardBeat: &wire.GuardBeat{Load: m.Load(now, name)}})
+		}
+	}
+}
+
+// NextTick tells when Tick is next due; 0 for never.
+func (m *Machine) NextTick() time.Duration {
+	var next time.Duration
+	sooner := func(t time.Duration) {
+		if next == 0 || t < next {
+			next = t
+		}
+	}
+	for _, r := range m.runs {
+		switch {
+		case r.state != stopping:
+			sooner(r.deadline)
+			sooner(m.entries[r.entry].newest + PermitTime + time.Millisecond)
+		case !r.stopSent && r.stopped == 0:
+			sooner(r.stopAt)
+		}
+	}
+	for _, p := range m.entries {
+		if p.runs > 0 && p.linked {
+			sooner(p.told + BeatEvery)
+		}
+	}
+	if !m.life.holding && m.wantsHold() {
+		sooner(m.life.holdAt)
+	}
+	if m.life.silent >= silentHolds && len(m.runs) > 0 {
+		sooner(m.life.leaseEnd)
+	}
+	return next
+}
--- /dev/null
+++ b/internal/settings/batch.go
@@ -0,0 +1,90 @@
+package settings
+
+import (
+	"time"
+)
+
+// BatchEntry is the settings of an entry whose workers run tasks under leases.
+type BatchEntry struct {
+	Name          string
+	FailureDomain string
+	Callers       string // listening address
+	Readiness     string // listening address
+	Links         string // listening address for guards; guards reach it there
+	Metrics       string // listening address; empty for none
+	Store         string // address of the platform's store
+	Stop          time.Duration
+	Memory        int64 // megabytes
+	Log           Log
+}
+
+// BatchGuard is the settings of a guard whose worker runs tasks under leases.
+type BatchGuard struct {
+	Name    string
+	Entries []string // addresses of entries
+	Reports string   // listening address for the worker's reports
+	Worker  string   // address of the worker
+	Metrics string   // listening address; empty for none
+	Store   string   // address of the platform's store
+	Stop    time.Duration
+	Memory  int64 // megabytes
+	Log     Log
+}
+
+// stopDoc is about the bound of a planned stop.
+const stopDoc = "Time from the request to stop until the process is killed."
+
+var batchEntryFields = join(
+	[]field[BatchEntry]{
+		name("node", "name", "Name of this process, unique in the fleet.", func(e *BatchEntry) *string { return &e.Name }).need(),
+		name("node", "failure_domain", "Failure domain of this process.", func(e *BatchEntry) *string { return &e.FailureDomain }).need(),
+		address("listen", "callers", "", "Address for callers.", func(e *BatchEntry) *string { return &e.Callers }).need(),
+		address("listen", "readiness", "", "Address for readiness.", func(e *BatchEntry) *string { return &e.Readiness }).need(),
+		address("listen", "links", "", "Address for guards, registered in the store.", func(e *BatchEntry) *string { return &e.Links }).need(),
+		address("listen", "metrics", "", "Address for counters; none if left out.", func(e *BatchEntry) *string { return &e.Metrics }),
+		address("store", "address", "", "Address of the platform's store.", func(e *BatchEntry) *string { return &e.Store }).need(),
+	},
+	batchLimits(func(e *BatchEntry) (*time.Duration, *int64) { return &e.Stop, &e.Memory }),
+	logFields(func(e *BatchEntry) *Log { return &e.Log }),
+)
+
+var batchGuardFields = join(
+	[]field[BatchGuard]{
+		name("node", "name", "Name of this process, unique in the fleet.", func(g *BatchGuard) *string { return &g.Name }).need(),
+		addresses("entries", "addresses", "Addresses of entries. Others are learned from them and from the store.", func(g *BatchGuard) *[]string { return &g.Entries }),
+		address("listen", "reports", "", "Address for the reports of the worker on this machine.", func(g *BatchGuard) *string { return &g.Reports }).need(),
+		address("listen", "metrics", "", "Address for counters; none if left out.", func(g *BatchGuard) *string { return &g.Metrics }),
+		address("worker", "address", "", "Address of the worker on this machine.", func(g *BatchGuard) *string { return &g.Worker }).need(),
+		address("store", "address", "", "Address of the platform's store.", func(g *BatchGuard) *string { return &g.Store }).need(),
+	},
+	batchLimits(func(g *BatchGuard) (*time.Duration, *int64) { return &g.Stop, &g.Memory }),
+	logFields(func(g *BatchGuard) *Log { return &g.Log }),
+)
+
+func batchLimits[T any](at func(*T) (stop *time.Duration, memory *int64)) []field[T] {
+	stop := seconds("limits", "stop_s", stopDoc, func(t *T) *time.Duration { d, _ := at(t); return d })
+	return []field[T]{
+		stop.need(),
+		integer("limits", "memory_mb", "megabytes", 128, 32, 1<<20, "Memory of the process. Above half of it garbage is collected more often.",
+			func(t *T) *int64 { _, n := at(t); return n }),
+	}
+}
+
+// LoadBatchEntry reads and checks an entry's file.
+func LoadBatchEntry(path string) (*BatchEntry, error) {
+	return parseTable(path, path, batchEntryFields)
+}
+
+// LoadBatchGuard reads and checks a guard's file.
+func LoadBatchGuard(path string) (*BatchGuard, error) {
+	return parseTable(path, path, batchGuardFields)
+}
+
+func parseTable[T any](file string, source any, fields []field[T]) (*T, error) {
+	t := new(T)
+	defaults(fields, t)
+	if err := load(file, source, fields, t); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -95,6 +95,19 @@
 	return f
 }
 
+// seconds is a time that the file gives in seconds, with or without a fraction.
+func seconds[T any](section, key, doc string, at func(*T) *time.Duration) field[T] {
+	return field[T]{section: section, key: key, unit: "s", bounds: "0.1 to 3600", doc: doc,
+		set: func(t *T, v string) error {
+			n, err := strconv.ParseFloat(v, 64)
+			if err != nil || !(n >= 0.1 && n <= 3600) {
+				return fmt.Errorf("%q: want a number of seconds within 0.1 to 3600", v)
+			}
+			*at(t) = time.Duration(n * float64(time.Second))
+			return nil
+		}}
+}
+
 func parseInteger(v string, low, high int64) (int64, error) {
 	n, err := strconv.ParseInt(v, 10, 64)
 	if err != nil {
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -11,6 +11,8 @@
 	b.WriteString("# Settings\n\nGenerated from the tables in `internal/settings`; do not edit.\n")
 	referenceOf(&b, "wigeontray serve", entryFields)
 	referenceOf(&b, "wigeontray-guard", guardFields)
+	referenceOf(&b, "wigeontray platform", batchEntryFields)
+	referenceOf(&b, "wigeontray-guard --platform", batchGuardFields)
 	return b.String()
 }
 
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -245,6 +245,7 @@
 const (
 	GuardPath = "/inner/guard"
 	PeerPath  = "/inner/peer"
+	RunPath   = "/inner/runs" // guards whose workers run tasks under leases
 )
 
 // Dial opens a link to url (ws:// or wss://).
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -7,7 +7,8 @@
 // Times on the wire are durations in milliseconds, never clock readings of
 // another machine, but for identities' births.
 //
-// The package may import errkind and identity, and nothing else of the project.
+// The package may import errkind, identity and sched, and nothing else of the
+// project.
 package wire
 
 import (
@@ -49,6 +50,15 @@
 	Goodbye     *Goodbye     `cbor:"21,keyasint,omitempty"`
 	Witness     *Witness     `cbor:"22,keyasint,omitempty"`
 	Witnessed   *Witnessed   `cbor:"23,keyasint,omitempty"`
+	RunHello    *RunHello    `cbor:"24,keyasint,omitempty"`
+	RunWelcome  *RunWelcome  `cbor:"25,keyasint,omitempty"`
+	RunTasks    *RunTasks    `cbor:"26,keyasint,omitempty"`
+	RunsEnded   *RunsEnded   `cbor:"27,keyasint,omitempty"`
+	StopRuns    *StopRuns    `cbor:"28,keyasint,omitempty"`
+	EntryBeat   *EntryBeat   `cbor:"29,keyasint,omitempty"`
+	GuardBeat   *GuardBeat   `cbor:"30,keyasint,omitempty"`
+	Desired     *Desired     `cbor:"31,keyasint,omitempty"`
+	Entries     *Entries     `cbor:"32,keyasint,omitempty"`
 }
 
 // Hello opens a link from a guard to an entry and announces its upstream.
--- /dev/null
+++ b/internal/wire/runs.go
@@ -0,0 +1,123 @@
+package wire
+
+import (
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
+)
+
+// Messages about tasks that run on a worker under a lease, between an entry and
+// the guard of the worker. A task may be run again from the start, but never
+// twice at the same time.
+
+// RunHello opens a link from a guard whose worker runs tasks under leases.
+type RunHello struct {
+	Version     int                  `cbor:"1,keyasint"`
+	MinVersion  int                  `cbor:"2,keyasint"`
+	Incarnation identity.Incarnation `cbor:"3,keyasint"`
+	Worker      RunWorker            `cbor:"4,keyasint"`
+	Load        RunLoad              `cbor:"5,keyasint"`
+	Revision    int64                `cbor:"6,keyasint,omitempty"` // configuration that the guard holds
+	Software    string               `cbor:"7,keyasint,omitempty"` // version of the binary
+}
+
+// RunWelcome accepts a RunHello.
+type RunWelcome struct {
+	Version     int                  `cbor:"1,keyasint"`
+	Incarnation identity.Incarnation `cbor:"2,keyasint"`
+	Revision    int64                `cbor:"3,keyasint,omitempty"` // configuration in force at the entry
+	Entries     []string             `cbor:"4,keyasint,omitempty"` // addresses the guard should link to
+	Software    string               `cbor:"5,keyasint,omitempty"`
+}
+
+// RunWorker describes the worker beside a guard.
+type RunWorker struct {
+	ID       string     `cbor:"1,keyasint,omitempty"` // names one life of the worker; empty while there is none
+	Service  string     `cbor:"2,keyasint,omitempty"`
+	Domain   string     `cbor:"3,keyasint,omitempty"` // failure domain
+	Rack     string     `cbor:"4,keyasint,omitempty"`
+	Labels   []string   `cbor:"5,keyasint,omitempty"`
+	Capacity sched.Room `cbor:"6,keyasint"`
+	Usable   bool       `cbor:"7,keyasint,omitempty"` // takes new tasks
+	Leaving  bool       `cbor:"8,keyasint,omitempty"` // announced its stop, or its guard did
+}
+
+// RunLoad is a guard's state at one moment, as one entry is told it.
+type RunLoad struct {
+	ClockMs int64      `cbor:"1,keyasint"`           // the guard's clock, which counts suspended time
+	Seen    uint64     `cbor:"2,keyasint,omitempty"` // Seq of the entry's last RunTasks that is counted in
+	Free    sched.Room `cbor:"3,keyasint"`
+}
+
+// RunTasks asks a guard to start tasks of one job. Those that do not fit are
+// refused at once.
+type RunTasks struct {
+	Seq     uint64    `cbor:"1,keyasint"` // grows by one on a link
+	ClockMs int64     `cbor:"2,keyasint"` // the guard's clock at sending, as the entry reckons it
+	Job     string    `cbor:"3,keyasint"`
+	Text    string    `cbor:"4,keyasint,omitempty"` // what the tasks are, for the worker
+	LeftMs  int64     `cbor:"5,keyasint"`           // time until they are of no use and are stopped
+	Tasks   []RunTask `cbor:"6,keyasint"`
+}
+
+// RunTask is one task. Run numbers its starts, from 1.
+type RunTask struct {
+	Step  int        `cbor:"1,keyasint"`
+	Index int        `cbor:"2,keyasint"`
+	Run   int64      `cbor:"3,keyasint"`
+	Need  sched.Room `cbor:"4,keyasint"`
+}
+
+// RunsEnded tells the entry what became of its tasks.
+type RunsEnded struct {
+	Ends []RunEnd `cbor:"1,keyasint"`
+	Load RunLoad  `cbor:"2,keyasint"`
+}
+
+// RunEnd is a guard's final word on one run: it does not run at this worker and
+// never will.
+type RunEnd struct {
+	Job   string `cbor:"1,keyasint"`
+	Step  int    `cbor:"2,keyasint"`
+	Index int    `cbor:"3,keyasint"`
+	Run   int64  `cbor:"4,keyasint"`
+	// Kind is None if the task was done.
+	Kind  errkind.Kind `cbor:"5,keyasint,omitempty"`
+	Ran   errkind.Ran  `cbor:"6,keyasint,omitempty"`
+	RunMs int64        `cbor:"7,keyasint,omitempty"` // from start to end
+	// Renumber asks for a greater Run: the worker has seen this one or a later.
+	Renumber bool `cbor:"8,keyasint,omitempty"`
+}
+
+// StopRuns withdraws all tasks of a job. Those that started are ended.
+type StopRuns struct {
+	ClockMs int64  `cbor:"1,keyasint"`
+	Job     string `cbor:"2,keyasint"`
+}
+
+// EntryBeat tells a guard that the entry lives and still wants its tasks there.
+type EntryBeat struct {
+	ClockMs int64 `cbor:"1,keyasint"` // as in RunTasks
+	// Waiting is set while the entry has tasks for which it sees no room; the
+	// guard then tells it when room appears.
+	Waiting bool `cbor:"2,keyasint,omitempty"`
+}
+
+// GuardBeat tells an entry that the guard lives, and its state.
+type GuardBeat struct {
+	Load   RunLoad    `cbor:"1,keyasint"`
+	Worker *RunWorker `cbor:"2,keyasint,omitempty"` // when it has changed
+}
+
+// Desired carries the operators' configuration as they wrote it. A process
+// obeys the highest version that it has seen. Without a document it tells which
+// version the sender has.
+type Desired struct {
+	Version  int64  `cbor:"1,keyasint"`
+	Document []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Entries lists the addresses of the entries that the sender knows.
+type Entries struct {
+	Addresses []string `cbor:"1,keyasint"`
+}
