guard: a planned stop waits until its entries have read the results

Cause: TestStopFlushesLargeAnswers failed once beside a busy machine: results that were written to the socket never arrived. Stop gave the links' close handshakes 100 ms, then ended the process, and the connection with what the entry had not read. Ruled out: the test's own bound of 10 s (the run lasts 7 s quiet and 9 s beside eight busy processes); frames lost in our queue (flush waits for them).

Change: a link tells when its close was answered, which is after the peer has read all; Stop waits for that, 6 s at most, in place of 100 ms.

--- a/internal/guard/fake_test.go
+++ b/internal/guard/fake_test.go
@@ -44,6 +44,9 @@
 // written before its close; a wiretest.Pipe may drop it.
 type orderlyLink struct{ wire.Link }
 
+// Shut tells that the peer has read all, which is when the pipe has ended.
+func (l orderlyLink) Shut() <-chan struct{} { return l.Done() }
+
 func (l orderlyLink) Close(reason string) {
 	time.AfterFunc(time.Microsecond, func() { l.Link.Close(reason) })
 }
--- a/internal/guard/stop.go
+++ b/internal/guard/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeontray/internal/ledger"
+	"wigeontray/internal/wire"
 )
 
 const (
@@ -13,10 +14,12 @@
 	// refused with RanNo in that time; if the link had ended before, its entry
 	// could not know whether it ran.
 	drainSettle = 200 * time.Millisecond
-	// closeLinger lets the links' close handshakes finish before the process
-	// ends. A socket that is closed with unread bytes drops what it still has
-	// to send, so that a result could be lost after it was written.
-	closeLinger = 100 * time.Millisecond
+	// closeLimit bounds the wait for the links' close handshakes before the process
+	// ends. A connection that ends without one drops what the peer has not read, so
+	// that results of several megabytes were lost after they were written, where
+	// the entry's machine was busy for longer than a tenth of a second. The library
+	// gives up on a handshake by itself after five seconds.
+	closeLimit = 6 * time.Second
 )
 
 // Drain announces a planned stop to all entries: no new work is taken, and what
@@ -40,17 +43,40 @@
 	case <-ctx.Done():
 	}
 	g.flush(ctx)
-	g.closeLinks()
-	sleep(ctx, closeLinger)
+	g.awaitShut(ctx, g.closeLinks())
 	g.once.Do(func() { close(g.stopped) })
 	return context.Cause(ctx)
 }
 
-func (g *Guard) closeLinks() {
+// closeLinks begins to end all links and gives them.
+func (g *Guard) closeLinks() []wire.Link {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ended = true
+	var links []wire.Link
 	for _, s := range g.links {
 		s.link.Close("stopped")
+		links = append(links, s.link)
+	}
+	return links
+}
+
+// shutLink is a link that tells when its peer has read everything.
+type shutLink interface{ Shut() <-chan struct{} }
+
+// awaitShut waits until the peers have read what was sent to them.
+func (g *Guard) awaitShut(ctx context.Context, links []wire.Link) {
+	ctx, cancel := context.WithTimeout(ctx, closeLimit)
+	defer cancel()
+	for _, l := range links {
+		s, ok := l.(shutLink)
+		if !ok {
+			continue
+		}
+		select {
+		case <-s.Shut():
+		case <-ctx.Done():
+			return
+		}
 	}
 }
--- a/internal/guard/stop_test.go
+++ b/internal/guard/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,48 @@
 	}
 }
 
+// slowLink is a link to an entry that takes its time to read.
+type slowLink struct {
+	orderlyLink
+	takes time.Duration
+	shut  chan struct{}
+	once  sync.Once
+}
+
+func (l *slowLink) Shut() <-chan struct{} { return l.shut }
+
+func (l *slowLink) Close(reason string) {
+	l.once.Do(func() {
+		time.AfterFunc(l.takes, func() {
+			l.orderlyLink.Close(reason)
+			close(l.shut)
+		})
+	})
+}
+
+// A guard stops while its entry's machine is busy and reads slowly. The results
+// are on the socket, but not read. If the guard's process ended before they are,
+// they would be dropped, and callers would read "outcome unknown".
+func TestStopWaitsUntilItsEntriesHaveRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const takes = 2 * time.Second
+		b := newBench(t, func(o *Options) {
+			dial := o.Dial
+			o.Dial = func(ctx context.Context, addr string) (wire.Link, error) {
+				l, err := dial(ctx, addr)
+				if err != nil {
+					return nil, err
+				}
+				return &slowLink{orderlyLink: l.(orderlyLink), takes: takes, shut: make(chan struct{})}, nil
+			}
+		})
+		began := time.Now()
+		qt.Assert(t, b.guard.Stop(context.Background()), qt.IsNil)
+		qt.Assert(t, time.Since(began) >= takes, qt.IsTrue)
+		b.close()
+	})
+}
+
 // An upstream hangs during a planned stop. Without a bound the guard's process
 // would stay until somebody kills it; the operator sees which stop was cut off.
 func TestStopEndsWhenItsTimeIsOver(t *testing.T) {
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -50,6 +50,7 @@
 	live    *liveness
 	stuck   *time.Timer // ends the link if a frame is too long on its way to the socket
 	done    chan struct{}
+	shut    chan struct{} // closed when the end of the connection has been agreed, or given up
 	once    sync.Once
 	traffic *Traffic
 }
@@ -60,7 +61,7 @@
 	if traffic == nil {
 		traffic = new(Traffic)
 	}
-	return &socketLink{out: newOutbox(sendQueue), live: newLiveness(dialed), done: make(chan struct{}), traffic: traffic}
+	return &socketLink{out: newOutbox(sendQueue), live: newLiveness(dialed), done: make(chan struct{}), shut: make(chan struct{}), traffic: traffic}
 }
 
 // begin puts an established connection to work.
@@ -78,6 +79,10 @@
 
 func (l *socketLink) Done() <-chan struct{} { return l.done }
 
+// Shut is closed once the peer has answered the close, and so has read all that
+// was sent before it, or once the wait for that was given up.
+func (l *socketLink) Shut() <-chan struct{} { return l.shut }
+
 func (l *socketLink) Send(f *Frame) error {
 	b, err := Encode(f)
 	if err != nil {
@@ -161,7 +166,10 @@
 		l.live.stop()
 		// A close handshake waits for the peer; a frozen peer must not hold the
 		// caller, so it runs aside and ends by the library's own timeout.
-		go shut()
+		go func() {
+			shut()
+			close(l.shut)
+		}()
 	})
 }
 
