pause: one wait that a context cuts short, in place of five; hazards in the design note

Five packages had a copy of it. docs/platform.md lists for each hazard what protects from it, the rule and the tests; the check of named tests now finds those of platform/.

--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -10,6 +10,7 @@
 	"wigeontray/internal/batch"
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
+	"wigeontray/internal/pause"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 )
@@ -98,7 +99,7 @@
 func (e *Entry) KeepBeat(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.step(func(now time.Duration, _ *batch.Machine) { e.beat = now })
-		sleep(ctx, beatEvery)
+		pause.For(ctx, beatEvery)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -120,13 +121,13 @@
 	e.mu.Lock()
 	now := e.opt.Clock()
 	e.checkStall(now)
-	pause := time.Duration(0)
+	left := time.Duration(0)
 	if e.woke > 0 {
-		pause = e.woke + batch.WakePause - now
+		left = e.woke + batch.WakePause - now
 	}
 	e.mu.Unlock()
-	if pause > 0 {
-		sleep(ctx, pause)
+	if left > 0 {
+		pause.For(ctx, left)
 	}
 	return ctx.Err() == nil
 }
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeontray/internal/identity"
+	"wigeontray/internal/pause"
 	"wigeontray/internal/runs"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
@@ -57,18 +58,18 @@
 // up.
 func (g *Guard) keepLinked(ctx context.Context, address string) {
 	defer g.forget(address)
-	pause, reached := redialMin, time.Now()
+	backoff, reached := redialMin, time.Now()
 	for ctx.Err() == nil {
 		l, err := g.connect(ctx, address)
 		if err == nil {
 			g.serve(ctx, l)
-			pause, reached = redialMin, time.Now()
+			backoff, reached = redialMin, time.Now()
 		} else if time.Since(reached) > forgetAfter {
 			g.opt.Log.Info("address of an entry given up", "address", address, "err", err)
 			return
 		}
-		sleep(ctx, spread(pause))
-		pause = min(2*pause, redialLimit(time.Since(reached)))
+		pause.For(ctx, spread(backoff))
+		backoff = min(2*backoff, redialLimit(time.Since(reached)))
 	}
 }
 
@@ -85,15 +86,6 @@
 	delete(g.dialing, address)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (g *Guard) connect(ctx context.Context, address string) (*guardLink, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -250,7 +242,7 @@
 
 // lookup asks the store for entries while there is no link, until ctx ends.
 func (g *Guard) lookup(ctx context.Context) {
-	sleep(ctx, lookupFirst)
+	pause.For(ctx, lookupFirst)
 	for ctx.Err() == nil {
 		if g.linked() == 0 {
 			found, err := g.opt.Lookup(ctx)
@@ -259,7 +251,7 @@
 			}
 			g.AddEntries(found)
 		}
-		sleep(ctx, spread(lookupEvery))
+		pause.For(ctx, spread(lookupEvery))
 	}
 }
 
--- a/internal/batchnode/upkeep.go
+++ b/internal/batchnode/upkeep.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"wigeontray/internal/pause"
 	"wigeontray/internal/store"
 )
 
@@ -38,7 +39,7 @@
 		err := s.followOnce(ctx, offer, func() { s.logChange(&up, true, nil) })
 		if err != nil && ctx.Err() == nil {
 			s.logChange(&up, errors.Is(err, store.ErrCompacted), err)
-			sleep(ctx, spread(storePause))
+			pause.For(ctx, spread(storePause))
 		}
 	}
 }
@@ -105,12 +106,12 @@
 func (r *Registration) Keep(ctx context.Context) {
 	var lease store.LeaseID
 	for ctx.Err() == nil {
-		pause := renewEvery
+		next := renewEvery
 		if err := r.renew(ctx, &lease); err != nil && ctx.Err() == nil {
 			r.Log.Warn("not registered in the store", "err", err)
-			pause = spread(storePause)
+			next = spread(storePause)
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, next)
 	}
 	if lease != 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), storePause)
@@ -167,6 +168,6 @@
 		if list, err := Addresses(ctx, st, prefix); err == nil && len(list) > 0 {
 			found(list)
 		}
-		sleep(ctx, spread(2*listEvery))
+		pause.For(ctx, spread(2*listEvery))
 	}
 }
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"wigeontray/internal/pause"
 	"wigeontray/internal/record"
 	"wigeontray/internal/store"
 )
@@ -53,7 +54,7 @@
 func (s *Sync) verifyUntilStale(ctx context.Context, stale chan<- struct{}) {
 	suspect := false
 	for {
-		sleep(ctx, s.nextVerify(suspect))
+		pause.For(ctx, s.nextVerify(suspect))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/confsync/resolve.go
+++ b/internal/confsync/resolve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"wigeontray/internal/pause"
 	"wigeontray/internal/record"
 	"wigeontray/internal/store"
 )
@@ -26,7 +27,7 @@
 		if o != unknown {
 			return o, revision, current
 		}
-		sleep(ctx, jitter(resolvePause))
+		pause.For(ctx, jitter(resolvePause))
 	}
 	return unknown, 0, 0
 }
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -21,6 +21,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
+	"wigeontray/internal/pause"
 	"wigeontray/internal/record"
 	"wigeontray/internal/store"
 )
@@ -204,7 +205,7 @@
 
 // Run keeps the snapshot fresh until ctx ends.
 func (s *Sync) Run(ctx context.Context) error {
-	pause := s.o.BackoffMin
+	backoff := s.o.BackoffMin
 	for ctx.Err() == nil {
 		start := time.Now()
 		err := s.follow(ctx)
@@ -213,10 +214,10 @@
 		}
 		s.noteFailure(err)
 		if time.Since(start) > s.o.BackoffMax {
-			pause = s.o.BackoffMin
+			backoff = s.o.BackoffMin
 		}
-		sleep(ctx, jitter(pause))
-		pause = min(2*pause, s.o.BackoffMax)
+		pause.For(ctx, jitter(backoff))
+		backoff = min(2*backoff, s.o.BackoffMax)
 	}
 	return ctx.Err()
 }
@@ -260,15 +261,6 @@
 	return d/2 + rand.N(d/2+1)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Sync) count(what string) {
 	metrics.GetOrRegisterCounter("config."+what, s.o.Registry).Inc(1)
 }
--- a/internal/guard/flush.go
+++ b/internal/guard/flush.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"wigeontray/internal/pause"
 )
 
 // flushPoll is how often a stop looks whether the links have sent everything.
@@ -17,7 +19,7 @@
 // flush waits until each link has nothing left to send or has ended.
 func (g *Guard) flush(ctx context.Context) {
 	for g.unsent() && ctx.Err() == nil {
-		sleep(ctx, flushPoll)
+		pause.For(ctx, flushPoll)
 	}
 }
 
--- a/internal/guard/health.go
+++ b/internal/guard/health.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wigeontray/internal/ledger"
+	"wigeontray/internal/pause"
 )
 
 // slowProbes is how many health checks in a row may time out before the
@@ -90,7 +91,7 @@
 		case ctx.Err() == nil:
 			g.setHealthy(false, err.Error())
 		}
-		sleep(ctx, g.opt.HealthEvery)
+		pause.For(ctx, g.opt.HealthEvery)
 	}
 }
 
--- a/internal/guard/links.go
+++ b/internal/guard/links.go
@@ -9,6 +9,7 @@
 
 	"wigeontray/internal/identity"
 	"wigeontray/internal/ledger"
+	"wigeontray/internal/pause"
 	"wigeontray/internal/wire"
 )
 
@@ -75,7 +76,7 @@
 		if time.Since(began) > steadyAfter {
 			backoff = backoffMin
 		}
-		sleep(ctx, g.jitter(backoff))
+		pause.For(ctx, g.jitter(backoff))
 		backoff = min(2*backoff, backoffMax)
 	}
 }
@@ -124,15 +125,6 @@
 	return d/2 + time.Duration(g.rand.Int64N(int64(d/2)+1))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // connect dials an address and exchanges Hello and Welcome.
 func (g *Guard) connect(ctx context.Context, a *address) (*session, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/internal/guard/stop.go
+++ b/internal/guard/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeontray/internal/ledger"
+	"wigeontray/internal/pause"
 	"wigeontray/internal/wire"
 )
 
@@ -37,7 +38,7 @@
 // Run. When ctx ends first, what still runs is cut off, and the cause returned.
 func (g *Guard) Stop(ctx context.Context) error {
 	g.Drain("stop")
-	sleep(ctx, drainSettle)
+	pause.For(ctx, drainSettle)
 	select {
 	case <-g.idle:
 	case <-ctx.Done():
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -21,6 +21,7 @@
 	"wigeontray/internal/httpserve"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
+	"wigeontray/internal/pause"
 	"wigeontray/internal/peers"
 	"wigeontray/internal/record"
 	"wigeontray/internal/roster"
@@ -258,7 +259,7 @@
 	if !e.Abrupt {
 		left := make(chan struct{})
 		go func() { e.leaveRoster(ctx); close(left) }()
-		sleep(ctx, lameDuck)
+		pause.For(ctx, lameDuck)
 		<-left
 	}
 	err := e.server.Drain(ctx)
@@ -267,7 +268,7 @@
 	}
 	err = errors.Join(err, e.callers.Stop(ctx))
 	e.server.Close()
-	sleep(ctx, flushTime)
+	pause.For(ctx, flushTime)
 	e.log.Info("entry stopped")
 	return errors.Join(err, e.closeListeners())
 }
@@ -297,12 +298,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/pages/promises_test.go
+++ b/internal/pages/promises_test.go
@@ -32,7 +32,9 @@
 	out := make(map[string]bool)
 	files, err := filepath.Glob(filepath.Join(root, "internal", pkg, "*_test.go"))
 	c.Assert(err, qt.IsNil)
-	for _, name := range files {
+	more, err := filepath.Glob(filepath.Join(root, pkg, "*_test.go"))
+	c.Assert(err, qt.IsNil)
+	for _, name := range append(files, more...) {
 		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.SkipObjectResolution)
 		c.Assert(err, qt.IsNil)
 		for _, d := range f.Decls {
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -4,7 +4,6 @@
 package sample
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,6 +12,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"wigeontray/internal/pause"
 )
 
 // TaskHeader names the task of a request, as member/key/task.
@@ -147,7 +148,7 @@
 	}
 	fault, length := u.begin(name, &task)
 	defer u.end()
-	if !sleep(r.Context(), length) {
+	if !pause.For(r.Context(), length) {
 		return
 	}
 	if fault != FaultNone {
@@ -194,18 +195,6 @@
 	u.running--
 }
 
-// sleep tells whether the time passed before the caller gave up.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // misbehave ends a request in the way that the fault says. A panic with
 // http.ErrAbortHandler is how a handler ends its connection.
 func misbehave(w http.ResponseWriter, r *http.Request, fault Fault) {
