runs: a task that stands still is stopped and given back

Cause: a worker whose tasks hang looks busy; each held its room until its caller left, up to ten times its length. The worker's lists show the percent of each run: one that has not advanced for its expected time (150 to 600 ms) is stopped and started elsewhere, and counts against the worker.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -13,6 +13,7 @@
 	seq     uint64 // order of arrival
 	arrived time.Duration
 	goal    time.Duration // by when it should end
+	chain   time.Duration // expected length of its longest chain of steps
 	steps   []step
 	flights []*flight
 	open    int  // tasks that are not done
@@ -41,7 +42,7 @@
 }
 
 func newJob(spec *Job, seq uint64, now, chain time.Duration) *job {
-	j := &job{spec: spec, seq: seq, arrived: now, steps: make([]step, len(spec.Steps))}
+	j := &job{spec: spec, seq: seq, arrived: now, chain: chain, steps: make([]step, len(spec.Steps))}
 	q := spec.Queue
 	j.goal = now + time.Duration(q.Stretch*float64(chain)) + q.Slack
 	for i := range spec.Steps {
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -272,7 +272,10 @@
 		at.since = now
 	}
 	v.Free = v.Free.Minus(s.spec.Need)
-	return wire.RunTask{Step: s.number, Index: index, Run: t.run, Need: s.spec.Need}
+	return wire.RunTask{
+		Step: s.number, Index: index, Run: t.run, Need: s.spec.Need,
+		ExpectMs: m.expect(j.spec.Queue, s.spec).Milliseconds(),
+	}
 }
 
 func (m *Machine) send(now time.Duration, j *job, b *batch) {
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -31,8 +31,10 @@
 }
 
 type simRun struct {
-	key  runs.Key
-	room sched.Room
+	key   runs.Key
+	room  sched.Room
+	began time.Duration
+	takes time.Duration
 }
 
 type simHold struct {
@@ -151,9 +153,9 @@
 	job.started = true
 	s.running[task] = w.id
 	w.highest[task] = k.Run
-	r := &simRun{key: k, room: step.Need}
-	w.active[k] = r
 	took := time.Duration(float64(step.Estimate) * (0.7 + 0.8*s.rng.Float64()))
+	r := &simRun{key: k, room: step.Need, began: s.now, takes: took}
+	w.active[k] = r
 	how := runs.EndDone
 	if s.rng.Float64() < s.faults.failRun {
 		how = runs.EndFailed
@@ -202,7 +204,7 @@
 func (w *simWorker) lists() *runs.HoldAnswer {
 	a := &runs.HoldAnswer{Verdict: runs.Done, ClockMs: w.clock().Milliseconds(), Ended: slices.Clone(w.ended)}
 	for _, r := range w.sorted() {
-		a.Active = append(a.Active, runs.Active{Key: r.key})
+		a.Active = append(a.Active, runs.Active{Key: r.key, Percent: int64(100 * (w.s.now - r.began) / r.takes)})
 	}
 	return a
 }
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -195,7 +195,7 @@
 		if v.Limit > 0 && !s.sick {
 			v.Limit = int(s.health.Probed(int32(v.Limit), probeLimit, slow))
 		}
-	case e.Kind == errkind.UpstreamFailed || e.Kind == errkind.TimedOut:
+	case e.Kind == errkind.UpstreamFailed || e.Kind == errkind.TimedOut || e.Kind == errkind.Stalled:
 		s.health.Failed(f.key.Job)
 	default:
 		return
--- a/internal/batch/tick.go
+++ b/internal/batch/tick.go
@@ -37,7 +37,7 @@
 		switch {
 		case now >= j.spec.Deadline:
 			m.expire(now, j)
-		case now >= m.giveUpAt(j):
+		case now >= j.giveUpAt():
 			m.fail(now, j, refusal(errkind.Overloaded, m.spread(afterOverloaded), "no worker had room in time"))
 		}
 	}
@@ -45,11 +45,11 @@
 
 // giveUpAt is when a job of which nothing was sent can no longer end by its goal.
 // It is refused then: held on, it would take the room of jobs that still can.
-func (m *Machine) giveUpAt(j *job) time.Duration {
+func (j *job) giveUpAt() time.Duration {
 	if j.sent {
 		return j.spec.Deadline
 	}
-	return min(j.spec.Deadline, max(j.goal-m.chain(j.spec), j.arrived))
+	return min(j.spec.Deadline, max(j.goal-j.chain, j.arrived))
 }
 
 // tickFlights starts tasks of lost guards elsewhere once they have ended there.
@@ -115,7 +115,7 @@
 		}
 	}
 	for _, j := range m.jobs {
-		sooner(m.giveUpAt(j))
+		sooner(j.giveUpAt())
 	}
 	for _, f := range m.flights {
 		if f.lost > 0 {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -50,6 +50,7 @@
 	Internal
 	TooManyJobs
 	MethodNotAllowed
+	Stalled
 	kindCount
 )
 
@@ -126,6 +127,7 @@
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, RanNo, AdviceNewIdentity, "this process is at its limit"},
 	Internal:           {"internal", http.StatusInternalServerError, RanUnknown, AdviceAsk, "an internal error"},
 	TooManyJobs:        {"too_many_jobs", http.StatusServiceUnavailable, RanUnknown, AdviceSame, "the member has too many unfinished jobs or open requests; nothing was started by this request"},
+	Stalled:            {"stalled", http.StatusBadGateway, RanYes, AdviceNewIdentity, "the task made no progress on its worker and was stopped"},
 	MethodNotAllowed:   {"method_not_allowed", http.StatusMethodNotAllowed, RanUnknown, AdviceNone, "the path does not take this method"},
 }
 
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -157,6 +157,7 @@
 	listed := make(map[Key]bool, len(active))
 	for _, a := range active {
 		listed[a.Key] = true
+		m.watch(now, a)
 	}
 	m.stopStrays(now, active)
 	sent := m.life.holdSent
@@ -172,3 +173,29 @@
 		}
 	}
 }
+
+// Bounds of the time for which a run may stand still. A worker shows whole
+// percents: one that is slow by a factor of eight advances by one in a twelfth of
+// the expected time.
+const (
+	stallLeast = 150 * time.Millisecond
+	stallMost  = 600 * time.Millisecond
+)
+
+// watch stops a run that stands still. Its worker counts as busy with it for as
+// long as the caller waits, which may be ten times its length; started elsewhere,
+// the task may still end in time, and the entry learns which worker hangs.
+func (m *Machine) watch(now time.Duration, a Active) {
+	r := m.runs[a.Key]
+	if r == nil || r.state != running {
+		return
+	}
+	if a.Percent != r.percent {
+		r.percent, r.advanced = a.Percent, now
+		return
+	}
+	limit := min(max(r.expect, stallLeast), stallMost)
+	if now-r.advanced > limit {
+		m.stop(now, r, wire.RunEnd{Kind: errkind.Stalled, Ran: errkind.RanYes})
+	}
+}
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -31,6 +31,9 @@
 	tries    int           // starts sent
 	answered bool          // its start was answered
 	present  time.Duration // when its start was answered
+	expect   time.Duration // how long it should run; 0 if that is not known
+	percent  int64         // of its work, when it was last seen to advance
+	advanced time.Duration // and when that was
 	why      wire.RunEnd   // what the entry is told when it has been stopped
 	stopSent bool          // a stop is under way
 	stopAt   time.Duration // when the next stop is due if none is under way
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -335,6 +335,29 @@
 	}
 }
 
+// Tasks on a worker stand still while its health is good and others run on it. Each
+// would hold its room until its caller leaves; it is stopped and given back.
+func TestRunThatStandsStillIsStopped(t *testing.T) {
+	r := newRig(t)
+	r.send(r.now, 0, 1)
+	r.started(key(0), Done)
+	r.started(key(1), Done)
+	r.actions()
+	for i := range int64(5) {
+		r.now += 50 * time.Millisecond
+		r.m.Beat(r.now, testEntry, &wire.EntryBeat{ClockMs: r.now.Milliseconds()})
+		r.held(testWorker, HoldAnswer{Active: []Active{{Key: key(0), Percent: 7}, {Key: key(1), Percent: i}}})
+	}
+	r.Assert(sortOut(r.actions()).stops, qt.DeepEquals, []Key{key(0)})
+	r.m.Stopped(r.now, key(0), Done, r.clockMs())
+	r.held(testWorker, HoldAnswer{
+		Active: []Active{{Key: key(1), Percent: 9}}, Ended: []Ended{{Number: 1, Key: key(0), How: EndStopped}},
+	})
+	got := sortOut(r.actions())
+	r.Assert(got.ends, qt.HasLen, 1)
+	r.Assert(got.ends[0].Kind, qt.Equals, errkind.Stalled)
+}
+
 // The link to an entry ends, perhaps with the entry. What it had there is stopped
 // at once, so that its room serves others.
 func TestLostLinkStopsItsRuns(t *testing.T) {
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -81,7 +81,7 @@
 		return
 	}
 	left := milliseconds(t.LeftMs)
-	r := &run{key: k, entry: from, need: task.Need, text: t.Text, deadline: now + left, ordered: now}
+	r := &run{key: k, entry: from, need: task.Need, text: t.Text, deadline: now + left, ordered: now, expect: milliseconds(task.ExpectMs)}
 	m.add(r)
 	m.orderStart(now, r)
 }
@@ -175,7 +175,7 @@
 	if a.Verdict == Done || a.Verdict == Outdated && r.tries > 1 {
 		// Outdated by an earlier copy of the same start: the lists tell how its run
 		// does or has ended.
-		r.answered, r.present = true, now
+		r.answered, r.present, r.advanced = true, now, now
 		if r.state == starting {
 			r.state = running
 		}
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -75,6 +75,8 @@
 	Index int        `cbor:"2,keyasint"`
 	Run   int64      `cbor:"3,keyasint"`
 	Need  sched.Room `cbor:"4,keyasint"`
+	// ExpectMs is how long it is expected to run; 0 if that is not known.
+	ExpectMs int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // RunsEnded tells the entry what became of its tasks.
