--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -59,14 +59,13 @@
 
 // admit refuses what cannot be served. A refusal is true for good: nothing of the
 // job was sent.
-func (m *Machine) admit(now time.Duration, spec *Job, chain time.Duration) *errkind.Error {
+func (m *Machine) admit(now time.Duration, spec *Job, chain, wait time.Duration) *errkind.Error {
 	if now >= spec.Deadline {
 		return refusal(errkind.DeadlineExpired, 0, "the deadline had passed on arrival")
 	}
 	if err := m.fits(now, spec); err != nil {
 		return err
 	}
-	wait := m.wait(spec)
 	least := time.Duration(quickShare * float64(chain))
 	if end := now + wait + least; end > spec.Deadline {
 		return refusal(errkind.CannotFinishInTime, m.spread(max(afterOverloaded, wait)),
--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -46,6 +46,7 @@
 // Job is a submission.
 type Job struct {
 	ID       string
+	Request  string // the caller's name for this submission, for logs; empty for none
 	Queue    *Queue
 	Text     string // what the tasks are, for the worker
 	Steps    []Step
@@ -55,10 +56,48 @@
 // Outcome is the one answer of a job, which is complete if Err is nil. An error
 // with RanNo means that no task of the job was started.
 type Outcome struct {
-	ID  string
-	Err *errkind.Error
+	ID    string
+	Job   *Job
+	Err   *errkind.Error
+	Story []Event // what was decided about the job, in order
 }
 
+// Event is one decision about a job, with what decided it.
+type Event struct {
+	At    time.Duration
+	What  What
+	Guard identity.Incarnation // that the event is about; empty for none
+	Tasks int                  // that the event is about
+	Kind  errkind.Kind         // of the end of a run
+	// Free is the processor that was believed free at the guard, or in the whole
+	// service, in thousandths of a core; Age is how old that belief was.
+	Free int64
+	Age  time.Duration
+	// Wait and Goal are what an admitted job was expected to wait, and the time
+	// from its arrival in which it should end.
+	Wait, Goal time.Duration
+}
+
+// What names a kind of Event.
+type What uint8
+
+// Kinds of Event.
+const (
+	Admitted  What = iota
+	Sent           // tasks went to a guard
+	RunEnded       // a run ended without success
+	GuardLost      // runs are in doubt until they have ended for sure
+	Withdrawn      // what runs of the job is stopped
+)
+
+// String gives the word that logs have.
+func (w What) String() string {
+	return [...]string{"admitted", "tasks sent", "run ended", "guard lost", "withdrawn"}[w]
+}
+
+// mostEvents bounds the story of a job; the newest are left out.
+const mostEvents = 64
+
 // Action is one thing that the owner of a Machine must do. Exactly one of Frame,
 // Drop and Finish is set.
 type Action struct {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -16,6 +16,7 @@
 	chain   time.Duration // expected length of its longest chain of steps
 	steps   []step
 	flights []*flight
+	story   []Event
 	open    int  // tasks that are not done
 	waiting int  // tasks that wait for room
 	sent    bool // a task was sent to a guard
@@ -59,6 +60,12 @@
 	return j
 }
 
+func (j *job) note(e Event) {
+	if len(j.story) < mostEvents {
+		j.story = append(j.story, e)
+	}
+}
+
 // release lets the tasks of a step wait for room if all steps before are done.
 func (j *job) release(s *step) {
 	for _, before := range s.spec.After {
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -92,6 +92,26 @@
 	return len(m.jobs), pending
 }
 
+// Snapshot is what decides about new jobs, for logs.
+type Snapshot struct {
+	Waiting int   // jobs with tasks that wait for room
+	Running int   // runs that were sent and have not ended
+	Workers int   // that may be given tasks
+	Free    int64 // processor that is believed free there, thousandths of a core
+	Entries int   // that share the workers
+}
+
+// Snapshot reads the machine.
+func (m *Machine) Snapshot() Snapshot {
+	s := Snapshot{Waiting: len(m.queue), Running: len(m.flights), Workers: m.Workers(), Entries: m.entries}
+	for i := range m.view {
+		if v := &m.view[i]; v.State == sched.Usable {
+			s.Free += max(0, v.Free.CPU)
+		}
+	}
+	return s
+}
+
 // Workers tells how many workers may be given tasks.
 func (m *Machine) Workers() int {
 	n := 0
@@ -120,11 +140,14 @@
 // not be submitted again.
 func (m *Machine) Submit(now time.Duration, spec *Job) *errkind.Error {
 	chain := m.chain(spec)
-	if err := m.admit(now, spec, chain); err != nil {
+	wait := m.wait(spec)
+	if err := m.admit(now, spec, chain, wait); err != nil {
 		return err
 	}
 	m.seq++
 	j := newJob(spec, m.seq, now, chain)
+	_, free := m.room(spec.Queue.Service)
+	j.note(Event{At: now, What: Admitted, Tasks: j.open, Free: free, Wait: wait, Goal: j.goal - now})
 	m.jobs[spec.ID] = j
 	m.enqueue(j)
 	m.pump(now)
@@ -286,6 +309,7 @@
 		sum = sum.Plus(b.tasks[i].Need)
 	}
 	at.unseen = append(at.unseen, unseen{seq: at.seq, room: sum})
+	j.note(Event{At: now, What: Sent, Guard: at.guard, Tasks: len(b.tasks), Free: m.view[at.place].Free.CPU + sum.CPU, Age: now - at.heard})
 	m.frame(now, at, &wire.Frame{RunTasks: &wire.RunTasks{
 		Seq: at.seq, ClockMs: at.clockMs(now), Job: j.spec.ID, Text: j.spec.Text,
 		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks, Want: m.want(),
@@ -360,6 +384,7 @@
 // taskEnded decides what becomes of a task whose run ended without success.
 func (m *Machine) taskEnded(now time.Duration, f *flight, e *wire.RunEnd) {
 	j, t := f.job, &f.step.tasks[f.key.Index]
+	j.note(Event{At: now, What: RunEnded, Guard: f.site.guard, Tasks: 1, Kind: e.Kind, Free: f.site.free.CPU})
 	switch {
 	case e.Renumber:
 		t.run += renumberBy
@@ -410,6 +435,9 @@
 
 // fail answers a job and withdraws what runs of it.
 func (m *Machine) fail(now time.Duration, j *job, err *errkind.Error) {
+	if len(j.flights) > 0 {
+		j.note(Event{At: now, What: Withdrawn, Tasks: len(j.flights)})
+	}
 	stopped := make(map[*site]bool)
 	for _, f := range slices.Clone(j.flights) {
 		j.ran = true // as far as is known
@@ -437,7 +465,7 @@
 		err = err.WithRan(errkind.RanUnknown)
 	}
 	m.past.add(j.spec.ID, stateOf(err))
-	m.actions = append(m.actions, Action{Finish: &Outcome{ID: j.spec.ID, Err: err}})
+	m.actions = append(m.actions, Action{Finish: &Outcome{ID: j.spec.ID, Job: j.spec, Err: err, Story: j.story}})
 }
 
 // expire answers a job whose caller has stopped waiting.
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -70,6 +70,9 @@
 	free := now + runs.LossTime
 	m.anyLost = true
 	for _, f := range m.flightsInOrder() {
+		if f.site == s && f.lost == 0 {
+			f.job.note(Event{At: now, What: GuardLost, Guard: guard, Tasks: 1, Age: now - s.heard})
+		}
 		switch {
 		case f.site != s || f.lost > 0:
 		case f.job.done:
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -24,6 +24,7 @@
 	Clock   Clock
 	Metrics *telemetry.Registry
 	Log     *log.Logger
+	Routine *log.Logger // for lines that tell of nothing unusual; Log if nil
 	// Apply puts a document of the operators in force, or tells why it cannot be.
 	// Calls come one at a time, with growing versions.
 	Apply func(version int64, document []byte) error
@@ -57,6 +58,9 @@
 
 // NewEntry returns an entry without guards and configuration.
 func NewEntry(opt EntryOptions) *Entry {
+	if opt.Routine == nil {
+		opt.Routine = opt.Log
+	}
 	e := &Entry{
 		opt:     opt,
 		id:      identity.NewIncarnation(opt.Name),
@@ -175,9 +179,23 @@
 		e.opt.Metrics.Observe(telemetry.JobLatency, now-w.began)
 		w.answer <- out
 	}
-	if out.Err != nil {
-		e.opt.Log.Info("job ended", "job", out.ID, "outcome", out.Err.Kind, "ran", out.Err.Ran, "cause", out.Err.Detail)
+	e.tell(now, out)
+}
+
+// tell writes the story of a job: one line if it is complete, and one for each
+// decision if it is not. The decisions are kept until then, as which jobs will fail
+// shows only at their end, and lines for all would cost more than the work.
+func (e *Entry) tell(now time.Duration, out *batch.Outcome) {
+	if out.Err == nil {
+		e.opt.Routine.Info("job ended", "job", out.ID, "request", out.Job.Request, "outcome", "complete", "took", now-out.Story[0].At, "events", len(out.Story))
+		return
+	}
+	for i := range out.Story {
+		s := &out.Story[i]
+		e.opt.Log.Info(s.What.String(), "job", out.ID, "ago", now-s.At, "guard", s.Guard, "tasks", s.Tasks,
+			"outcome", s.Kind, "free", s.Free, "age", s.Age, "wait", s.Wait, "goal", s.Goal)
 	}
+	e.opt.Log.Info("job ended", "job", out.ID, "request", out.Job.Request, "queue", out.Job.Queue.Name, "outcome", out.Err.Kind, "ran", out.Err.Ran, "cause", out.Err.Detail, "took", now-out.Story[0].At)
 }
 
 func (e *Entry) count(out *batch.Outcome) {
@@ -188,7 +206,6 @@
 		e.opt.Metrics.Inc(telemetry.JobsCancelled)
 	default:
 		e.opt.Metrics.Inc(telemetry.JobsFailed)
-		e.opt.Metrics.Failed(out.Err.Kind)
 	}
 }
 
@@ -238,7 +255,9 @@
 	if refused != nil {
 		delete(e.waiters, job.ID)
 		e.opt.Metrics.Refused(refused.Kind)
-		e.opt.Log.Info("job refused", "job", job.ID, "queue", job.Queue.Name, "reason", refused.Kind, "cause", refused.Detail, "after", refused.After)
+		s := e.machine.Snapshot()
+		e.opt.Log.Info("job refused", "job", job.ID, "request", job.Request, "queue", job.Queue.Name, "reason", refused.Kind, "cause", refused.Detail, "after", refused.After,
+			"waiting", s.Waiting, "running", s.Running, "workers", s.Workers, "free", s.Free, "entries", s.Entries)
 		return nil, &batch.Outcome{ID: job.ID, Err: refused}
 	}
 	e.opt.Metrics.Inc(telemetry.JobsAccepted)
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wigeontray/internal/batch"
+	"wigeontray/internal/errkind"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 )
@@ -122,13 +123,15 @@
 func (e *Entry) countEnds(r *wire.RunsEnded) {
 	for i := range r.Ends {
 		end := &r.Ends[i]
-		if end.Kind == 0 {
+		switch {
+		case end.Kind == errkind.None:
 			e.opt.Metrics.Inc(telemetry.TasksAnswered)
 			e.opt.Metrics.Observe(telemetry.TaskRunLatency, time.Duration(end.RunMs)*time.Millisecond)
-			continue
+		case end.Ran == errkind.RanNo:
+			e.opt.Metrics.Inc(telemetry.TasksNotStarted)
+		default:
+			e.opt.Metrics.Failed(end.Kind)
 		}
-		e.opt.Metrics.Inc(telemetry.TasksNotStarted)
-		e.opt.Log.Info("run ended", "job", end.Job, "step", end.Step, "task", end.Index, "run", end.Run, "outcome", end.Kind, "ran", end.Ran)
 	}
 }
 
--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/runs"
 	"wigeontray/internal/telemetry"
@@ -30,6 +31,7 @@
 	Clock   Clock
 	Metrics *telemetry.Registry
 	Log     *log.Logger
+	Routine *log.Logger // for lines that tell of nothing unusual; Log if nil
 	// Dial opens a link to an entry's address.
 	Dial func(ctx context.Context, address string) (wire.Link, error)
 	// Lookup lists the addresses of entries that have registered. It is asked only
@@ -70,6 +72,9 @@
 
 // NewGuard returns a guard whose worker has not reported yet.
 func NewGuard(opt GuardOptions) *Guard {
+	if opt.Routine == nil {
+		opt.Routine = opt.Log
+	}
 	g := &Guard{
 		opt:     opt,
 		id:      identity.NewIncarnation(opt.Name),
@@ -137,12 +142,32 @@
 	case a.Hold != nil:
 		go g.hold(a.Hold)
 	case a.Send != nil:
+		if ends := a.Send.Frame.RunsEnded; ends != nil {
+			g.tellEnds(a.Send.To, ends)
+		}
 		if l := g.links[a.Send.To]; l != nil {
 			_ = l.link.Send(a.Send.Frame) // the reader of a lost link tells the machine
 		}
 	}
 }
 
+// tellEnds writes a line for each run that ended without success. A refusal for
+// want of room is routine: its task goes elsewhere.
+func (g *Guard) tellEnds(entry identity.Incarnation, r *wire.RunsEnded) {
+	for i := range r.Ends {
+		end := &r.Ends[i]
+		if end.Kind == errkind.None {
+			continue
+		}
+		to := g.opt.Log
+		if end.Kind == errkind.Busy {
+			to = g.opt.Routine
+		}
+		to.Info("run ended", "job", end.Job, "step", end.Step, "task", end.Index, "run", end.Run, "entry", entry,
+			"outcome", end.Kind, "ran", end.Ran, "took", time.Duration(end.RunMs)*time.Millisecond, "free", r.Load.Free.CPU)
+	}
+}
+
 func (g *Guard) start(s *runs.Start) {
 	ctx, cancel := context.WithTimeout(context.Background(), runs.OrderTime)
 	defer cancel()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,6 +45,7 @@
 	Record     recordCmd     `cmd:"" help:"Read and amend records through an entry."`
 	Local      localCmd      `cmd:"" help:"Stand-ins to try a fleet on one machine: a store and an upstream."`
 	Keys       keysCmd       `cmd:"" help:"Make a certificate authority and certificates for a fleet, or a member's token."`
+	Explain    explainCmd    `cmd:"" help:"Tell from logs what became of a job on the users' platform, and why."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,50 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const entryLog = `{"time":"2026-01-01T00:00:02Z","level":"info","msg":"tasks sent","node":"edge-1","job":"j1","ago":"1.5s","guard":"side-1-abc","tasks":2,"free":0}
+{"time":"2026-01-01T00:00:02Z","level":"info","msg":"job ended","node":"edge-1","job":"j1","outcome":"timed_out"}
+{"time":"2026-01-01T00:00:02Z","level":"info","msg":"job ended","node":"edge-1","job":"j2","outcome":"j1"}
+not a line, j1
+{"time":"never","job":"j1"}
+`
+
+const guardLog = `  0.5 side-1 {"time":"2026-01-01T00:00:01Z","level":"info","msg":"tasks taken","node":"side-1","job":"j1","tasks":2}
+`
+
+// Lines of several processes come out in the order in which things happened, not
+// in which they were written.
+func TestStoryIsInOrder(t *testing.T) {
+	c := qt.New(t)
+	lines, bad, err := Read(nil, strings.NewReader(entryLog), "j1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(bad, qt.Equals, 1)
+	lines, _, err = Read(lines, strings.NewReader(guardLog), "j1")
+	c.Assert(err, qt.IsNil)
+	var b strings.Builder
+	c.Assert(Write(&b, lines), qt.IsNil)
+	c.Assert(b.String(), qt.Equals, `     0.000s  edge-1                  tasks sent  guard=side-1-abc  tasks=2
+     0.500s  side-1                  tasks taken  tasks=2
+     1.500s  edge-1                  job ended  outcome=timed_out
+`)
+}
+
+// A process was killed, or its log was not collected. The story says what is
+// missing; its reader would take what is there for all.
+func TestStorySaysWhatIsMissing(t *testing.T) {
+	c := qt.New(t)
+	lines, _, err := Read(nil, strings.NewReader(strings.Split(entryLog, "\n")[0]), "j1")
+	c.Assert(err, qt.IsNil)
+	var b strings.Builder
+	c.Assert(Write(&b, lines), qt.IsNil)
+	c.Assert(b.String(), qt.Contains, "missing: the answer")
+	c.Assert(b.String(), qt.Contains, "missing: lines of guard side-1-abc")
+	b.Reset()
+	c.Assert(Write(&b, nil), qt.IsNil)
+	c.Assert(b.String(), qt.Contains, "missing: every line")
+}
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -107,6 +107,11 @@
 	Malformed           // the worker does not understand the order
 )
 
+// String gives the word that logs have.
+func (v Verdict) String() string {
+	return [...]string{"done", "no answer", "no room", "outdated", "lease over", "fenced off", "other worker", "unhealthy", "malformed"}[v]
+}
+
 // StartAnswer answers a Start.
 type StartAnswer struct {
 	Verdict Verdict
--- a/internal/settings/batch.go
+++ b/internal/settings/batch.go
@@ -15,7 +15,7 @@
 	Store         string // address of the platform's store
 	Stop          time.Duration
 	Memory        int64 // megabytes
-	Log           Log
+	Log           BoundedLog
 }
 
 // BatchGuard is the settings of a guard whose worker runs tasks under leases.
@@ -28,7 +28,14 @@
 	Store   string   // address of the platform's store
 	Stop    time.Duration
 	Memory  int64 // megabytes
-	Log     Log
+	Log     BoundedLog
+}
+
+// BoundedLog is a log whose volume has a bound.
+type BoundedLog struct {
+	Log
+	BytesPerSecond int64 // in the long run
+	QueueBytes     int64 // that wait for the reader, and that may come at once
 }
 
 // stopDoc is about the bound of a planned stop.
@@ -45,7 +52,7 @@
 		address("store", "address", "", "Address of the platform's store.", func(e *BatchEntry) *string { return &e.Store }).need(),
 	},
 	batchLimits(func(e *BatchEntry) (*time.Duration, *int64) { return &e.Stop, &e.Memory }),
-	logFields(func(e *BatchEntry) *Log { return &e.Log }),
+	boundedLogFields(func(e *BatchEntry) *BoundedLog { return &e.Log }),
 )
 
 var batchGuardFields = join(
@@ -58,7 +65,7 @@
 		address("store", "address", "", "Address of the platform's store.", func(g *BatchGuard) *string { return &g.Store }).need(),
 	},
 	batchLimits(func(g *BatchGuard) (*time.Duration, *int64) { return &g.Stop, &g.Memory }),
-	logFields(func(g *BatchGuard) *Log { return &g.Log }),
+	boundedLogFields(func(g *BatchGuard) *BoundedLog { return &g.Log }),
 )
 
 func batchLimits[T any](at func(*T) (stop *time.Duration, memory *int64)) []field[T] {
@@ -70,6 +77,14 @@
 	}
 }
 
+func boundedLogFields[T any](at func(*T) *BoundedLog) []field[T] {
+	return append(logFields(func(t *T) *Log { return &at(t).Log }),
+		integer("log", "bytes_per_second", "bytes/s", 32*kib, kib, 1<<30, "Most that is written in the long run. What exceeds it is dropped, routine lines first, and counted in a line. A line has about 250 bytes.",
+			func(t *T) *int64 { return &at(t).BytesPerSecond }),
+		integer("log", "queue_bytes", "bytes", 512*kib, 16*kib, 1<<30, "Most that waits for the reader of the log, and that may come at once.",
+			func(t *T) *int64 { return &at(t).QueueBytes }))
+}
+
 // LoadBatchEntry reads and checks an entry's file.
 func LoadBatchEntry(path string) (*BatchEntry, error) {
 	return parseTable(path, path, batchEntryFields)
