--- /dev/null
+++ b/internal/batch/place.go
@@ -0,0 +1,150 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"wigeontray/internal/runs"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// pump sends waiting tasks, in order, wherever there is room.
+func (m *Machine) pump(now time.Duration) {
+	if len(m.queue) == 0 {
+		return
+	}
+	free := m.mostFree()
+	for i := 0; i < len(m.queue) && free > 0; {
+		j := m.queue[i]
+		if m.place(now, j, free) {
+			free = m.mostFree()
+		}
+		if j.waiting == 0 {
+			m.queue = slices.Delete(m.queue, i, i+1)
+		} else {
+			i++
+		}
+	}
+}
+
+// mostFree is the most free processor of any site, in thousandths of a core: no
+// task that needs more can be placed.
+func (m *Machine) mostFree() int64 {
+	most := int64(0)
+	for i := range m.view {
+		if s := &m.view[i]; s.State == sched.Usable {
+			most = max(most, s.Free.CPU)
+		}
+	}
+	return most
+}
+
+// place sends what has room of one job, one frame a site, and tells whether
+// anything was sent.
+func (m *Machine) place(now time.Duration, j *job, free int64) bool {
+	var batches []*batch
+	for i := range j.steps {
+		s := &j.steps[i]
+		if len(s.waiting) > 0 && s.spec.Need.CPU <= free {
+			batches = m.placeStep(now, j, s, batches)
+		}
+	}
+	for _, b := range batches {
+		m.send(now, j, b)
+	}
+	return len(batches) > 0
+}
+
+// batch is what goes to one site in one frame.
+type batch struct {
+	site  *site
+	tasks []wire.RunTask
+}
+
+func (m *Machine) placeStep(now time.Duration, j *job, s *step, batches []*batch) []*batch {
+	left := s.waiting[:0]
+	for _, index := range s.waiting {
+		at := m.choose(j, s, index)
+		if at == nil {
+			left = append(left, index)
+			continue
+		}
+		b := batchFor(&batches, at)
+		b.tasks = append(b.tasks, m.take(now, j, s, index, at))
+	}
+	s.waiting = left
+	return batches
+}
+
+func batchFor(batches *[]*batch, at *site) *batch {
+	for _, b := range *batches {
+		if b.site == at {
+			return b
+		}
+	}
+	b := &batch{site: at}
+	*batches = append(*batches, b)
+	return b
+}
+
+// choose gives the site for a task, or nil.
+func (m *Machine) choose(j *job, s *step, index int) *site {
+	t := &s.tasks[index]
+	ask := sched.Ask{
+		Service: j.spec.Queue.Service, Need: s.spec.Need, Label: s.spec.Label, Rack: s.spec.Rack,
+		Domain: m.opt.Domain,
+	}
+	if s.spec.PerWorker > 0 || len(t.avoid) > 0 {
+		ask.Avoid = func(i int) bool {
+			at := m.sites[i]
+			return s.spec.PerWorker > 0 && s.at[at] >= s.spec.PerWorker || slices.Contains(t.avoid, at)
+		}
+	}
+	i := sched.BestSite(m.view, &ask)
+	if i == sched.NoWorker {
+		return nil
+	}
+	return m.sites[i]
+}
+
+// take books a task on a site.
+func (m *Machine) take(now time.Duration, j *job, s *step, index int, at *site) wire.RunTask {
+	t := &s.tasks[index]
+	t.run++
+	k := runs.Key{Job: j.spec.ID, Step: s.number, Index: index, Run: t.run}
+	m.flights[k] = &flight{key: k, job: j, step: s, site: at}
+	j.flights = append(j.flights, m.flights[k])
+	s.at[at]++
+	j.waiting--
+	j.sent = true
+	v := &m.view[at.place]
+	if v.Own++; v.Own == 1 {
+		at.since = now
+	}
+	v.Free = v.Free.Minus(s.spec.Need)
+	return wire.RunTask{
+		Step: s.number, Index: index, Run: t.run, Need: s.spec.Need,
+		ExpectMs: m.expect(j.spec.Queue, s.spec).Milliseconds(),
+	}
+}
+
+func (m *Machine) send(now time.Duration, j *job, b *batch) {
+	at := b.site
+	at.seq++
+	var sum sched.Room
+	for i := range b.tasks {
+		sum = sum.Plus(b.tasks[i].Need)
+	}
+	at.unseen = append(at.unseen, unseen{seq: at.seq, room: sum})
+	j.note(Event{At: now, What: Sent, Guard: at.guard, Tasks: len(b.tasks), Free: m.view[at.place].Free.CPU + sum.CPU, Age: now - at.heard})
+	m.frame(now, at, &wire.Frame{RunTasks: &wire.RunTasks{
+		Seq: at.seq, ClockMs: at.clockMs(now), Job: j.spec.ID, Text: j.spec.Text,
+		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks, Want: m.want(),
+	}})
+}
+
+func (m *Machine) frame(now time.Duration, at *site, f *wire.Frame) {
+	at.told = now
+	m.actions = append(m.actions, Action{Guard: at.guard, Frame: f})
+}
--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -55,6 +55,9 @@
 	defer link.Close("done")
 	g, err := s.greet(ctx, link)
 	if err != nil {
+		if errors.Is(err, context.Canceled) {
+			return // this process stops, and no guard was refused
+		}
 		s.metrics.Inc(telemetry.LinksRefused)
 		s.log.Warn("guard refused", "err", err)
 		return
--- a/internal/runs/tick.go
+++ b/internal/runs/tick.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// letGo settles the runs of a worker that has not answered for the time of its
-// lease: they have ended, whether it lives or not.
+// letGo settles all runs: those of a worker that has not answered for the time of
+// its lease, or whose life is over. They have ended, whether it lives or not.
 func (m *Machine) letGo(now time.Duration) {
 	for _, r := range m.inOrder() {
 		e := wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes}
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"wigeontray/internal/errkind"
 	"wigeontray/internal/wire"
 )
 
@@ -81,13 +80,7 @@
 
 // endLife ends the books of a life that is over: nothing of it runs any more.
 func (m *Machine) endLife(now time.Duration) {
-	for _, r := range m.inOrder() {
-		e := wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes}
-		if r.state == stopping {
-			e = r.why
-		}
-		m.end(now, r, e)
-	}
+	m.letGo(now)
 	m.life = life{}
 	m.worker = wire.RunWorker{Leaving: m.leaving}
 }
