--- /dev/null
+++ b/internal/batch/admit_test.go
@@ -0,0 +1,42 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// oneWorker is an entry with a worker of 40 cores.
+func oneWorker() *Machine {
+	m := New(0, Options{Seed: 1})
+	m.GuardUp(0, &wire.RunHello{
+		Incarnation: "g0",
+		Worker:      wire.RunWorker{ID: "w", Service: "s", Capacity: sched.Room{CPU: 40_000}, Usable: true},
+		Load:        wire.RunLoad{Free: sched.Room{CPU: 40_000}},
+	})
+	return m
+}
+
+var testQueue = &Queue{Name: "q", Service: "s", MaxAttempts: 1, Stretch: 1.6, Slack: 60 * time.Millisecond}
+
+func testJob(id string, tasks int, cpu int64) *Job {
+	return &Job{ID: id, Queue: testQueue, Deadline: time.Hour, Steps: []Step{{
+		Count: tasks, Need: sched.Room{CPU: cpu}, Estimate: 200 * time.Millisecond,
+	}}}
+}
+
+// A need that no worker could ever meet is told from one whose worker is away.
+func TestHopelessJobsAreToldFromUnluckyOnes(t *testing.T) {
+	m := oneWorker()
+	late := settleTime + time.Second
+	err := m.Submit(late, testJob("huge", 1, 41_000))
+	qt.Assert(t, HasFailed(err), qt.IsTrue)
+	m.Beat(late, "g0", &wire.GuardBeat{Worker: &wire.RunWorker{ID: "w", Service: "s", Capacity: sched.Room{CPU: 40_000}, Leaving: true}})
+	err = m.Submit(late, testJob("fits", 1, 4000))
+	qt.Assert(t, HasFailed(err), qt.IsFalse)
+	qt.Assert(t, err.After > 0, qt.IsTrue)
+}
