batch, runs: three ways to a second run or a cut answer, found by the simulation and by reading

(2) The refusal of a copy of a start was taken for the last word, though the first copy had got no answer and might still be carried out. (3) An entry that stops cut off what still ran at the end of its time; it now answers that as unknown while there is time to write.

--- a/internal/batch/admit_test.go
+++ b/internal/batch/admit_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"wigeontray/internal/errkind"
 	"wigeontray/internal/sched"
 	"wigeontray/internal/wire"
 )
@@ -40,3 +41,29 @@
 	qt.Assert(t, HasFailed(err), qt.IsFalse)
 	qt.Assert(t, err.After > 0, qt.IsTrue)
 }
+
+// A job is cut off and comes again to the same entry. Only then does the guard's
+// word on the first run arrive: "not started". Taken for one on the second run, its
+// task would be started at another worker while it runs.
+func TestLateWordOnAnEarlierRunIsNotTakenForTheNextOne(t *testing.T) {
+	m := oneWorker()
+	runOf := func() int64 {
+		for _, a := range m.Actions(0) {
+			if a.Frame != nil && a.Frame.RunTasks != nil {
+				return a.Frame.RunTasks.Tasks[0].Run
+			}
+		}
+		return 0
+	}
+	qt.Assert(t, m.Submit(0, testJob("job", 1, 4000)) == nil, qt.IsTrue)
+	first := runOf()
+	m.Cancel(0, "job")
+	qt.Assert(t, m.Submit(0, testJob("job", 1, 4000)) == nil, qt.IsTrue)
+	second := runOf()
+	qt.Assert(t, second > first, qt.IsTrue)
+	m.Ended(0, "g0", &wire.RunsEnded{
+		Ends: []wire.RunEnd{{Job: "job", Run: first, Kind: errkind.Fenced, Ran: errkind.RanNo}},
+		Load: wire.RunLoad{Free: sched.Room{CPU: 36_000}, Seen: 2},
+	})
+	qt.Assert(t, runOf(), qt.Equals, int64(0))
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -42,7 +42,7 @@
 	avoid    []*site // sites where it failed or was lost
 }
 
-func newJob(spec *Job, seq uint64, now, chain time.Duration) *job {
+func newJob(spec *Job, seq uint64, now, chain time.Duration, lastRun int64) *job {
 	j := &job{spec: spec, seq: seq, arrived: now, chain: chain, steps: make([]step, len(spec.Steps))}
 	q := spec.Queue
 	j.goal = now + time.Duration(q.Stretch*float64(chain)) + q.Slack
@@ -51,6 +51,9 @@
 		s.spec, s.number = &spec.Steps[i], i
 		s.open = s.spec.Count
 		s.tasks = make([]task, s.spec.Count)
+		for t := range s.tasks {
+			s.tasks[t].run = lastRun
+		}
 		s.at = make(map[*site]int)
 		j.open += s.spec.Count
 	}
@@ -60,6 +63,17 @@
 	return j
 }
 
+// lastRun is the greatest number of a run of the job's tasks.
+func (j *job) lastRun() int64 {
+	last := int64(0)
+	for i := range j.steps {
+		for t := range j.steps[i].tasks {
+			last = max(last, j.steps[i].tasks[t].run)
+		}
+	}
+	return last
+}
+
 func (j *job) note(e Event) {
 	if len(j.story) < mostEvents {
 		j.story = append(j.story, e)
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -145,7 +145,7 @@
 		return err
 	}
 	m.seq++
-	j := newJob(spec, m.seq, now, chain)
+	j := newJob(spec, m.seq, now, chain, m.past.lastRun(spec.ID))
 	_, free := m.room(spec.Queue.Service)
 	j.note(Event{At: now, What: Admitted, Tasks: j.open, Free: free, Wait: wait, Goal: j.goal - now})
 	m.jobs[spec.ID] = j
@@ -324,7 +324,7 @@
 	case err.Ran == errkind.RanNo:
 		err = err.WithRan(errkind.RanUnknown)
 	}
-	m.past.add(j.spec.ID, stateOf(err))
+	m.past.add(j.spec.ID, stateOf(err), j.lastRun())
 	m.actions = append(m.actions, Action{Finish: &Outcome{ID: j.spec.ID, Job: j.spec, Err: err, Story: j.story}})
 }
 
--- a/internal/batch/random_test.go
+++ b/internal/batch/random_test.go
@@ -73,8 +73,9 @@
 func TestNoTaskRunsTwiceAtOnceUnderRandomTrouble(t *testing.T) {
 	f := simFaults{lateOrder: 0.02, lostAnswer: 0.02, failRun: 0.01}
 	seeds := []uint64{
-		197, // a lease reckoned from an older reading of a slow clock outlived the guard's belief
-		7,   // an entry woke from a freeze and began a job whose caller had left
+		197,    // a lease reckoned from an older reading of a slow clock outlived the guard's belief
+		7,      // an entry woke from a freeze and began a job whose caller had left
+		10_892, // a late word on a run of the first submission was taken for the second one's
 	}
 	for seed := range uint64(60) {
 		seeds = append(seeds, 10_000+seed)
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -442,9 +442,12 @@
 		})
 	}
 	switch p := s.rng.Float64(); {
-	case p < s.faults.lateOrder:
+	case p < s.faults.lateOrder/2:
 		s.after(2*time.Second+time.Duration(s.rng.Int64N(int64(10*time.Second))), func() { carryOut() })
 		back(timeout, nil)
+	case p < s.faults.lateOrder:
+		s.after(time.Duration(s.rng.Int64N(int64(600*time.Millisecond))), func() { carryOut() })
+		back(timeout, nil)
 	case p < s.faults.lateOrder+s.faults.lostAnswer:
 		s.after(simDelay/2, func() { carryOut() })
 		back(timeout, nil)
--- a/internal/batch/tick.go
+++ b/internal/batch/tick.go
@@ -22,9 +22,12 @@
 // Woke answers every job after the entry was frozen. Meanwhile callers have left
 // and sent their jobs to other entries; they are not known to have left until
 // their connections are read. Worked on, such a job would run twice at once.
-func (m *Machine) Woke(now time.Duration) {
+func (m *Machine) Woke(now time.Duration) { m.AnswerAll(now, "this entry was frozen") }
+
+// AnswerAll answers every job: its outcome is unknown, unless nothing of it ran.
+func (m *Machine) AnswerAll(now time.Duration, why string) {
 	for _, j := range m.jobsInOrder() {
-		m.fail(now, j, errkind.New(errkind.WorkerLost, "this entry was frozen"))
+		m.fail(now, j, errkind.New(errkind.WorkerLost, "%s", why))
 	}
 }
 
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -318,6 +318,12 @@
 	return e.machine.Workers()
 }
 
+// AnswerAll answers every job. A process that ends without would cut its callers
+// off, and they could not tell whether their jobs had been read.
+func (e *Entry) AnswerAll(why string) {
+	e.step(func(now time.Duration, m *batch.Machine) { m.AnswerAll(now, why) })
+}
+
 // Close ends all links and timers.
 func (e *Entry) Close() {
 	e.mu.Lock()
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -166,6 +166,19 @@
 	r.Assert(got.ends[0].Ran, qt.Equals, errkind.RanUnknown)
 }
 
+// A start gets no answer and is carried out a tenth of a second later, when the copy
+// that was sent after it has been refused for want of room. Given back on that
+// refusal alone, the task would run at two workers.
+func TestRefusalOfACopyDoesNotSettleTheFirstStart(t *testing.T) {
+	r := newRig(t)
+	r.send(r.now, 0)
+	r.started(key(0), NoAnswer)
+	r.started(key(0), NoRoom)
+	got := sortOut(r.actions())
+	r.Assert(got.ends, qt.HasLen, 0)
+	r.Assert(got.stops, qt.DeepEquals, []Key{key(0)})
+}
+
 // The answer to a start is lost, and the run has ended when the start is sent
 // again: the worker calls it outdated. Taken for a run that never began, its task
 // would be done a second time.
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -166,12 +166,6 @@
 		m.orderStart(now, r)
 		return
 	}
-	if a.Verdict == NoAnswer {
-		// It may be at the worker or come later. Stopped under the same number,
-		// it can do neither, and the task may run elsewhere.
-		m.stop(now, r, withdrawn(errkind.NotRun))
-		return
-	}
 	if a.Verdict == Done || a.Verdict == Outdated && r.tries > 1 {
 		// Outdated by an earlier copy of the same start: the lists tell how its run
 		// does or has ended.
@@ -181,6 +175,13 @@
 		}
 		return
 	}
+	if a.Verdict == NoAnswer || r.tries > 1 {
+		// It, or an earlier copy that got no answer, may be at the worker or come
+		// later. Stopped under the same number, it can do neither, and the task may
+		// run elsewhere.
+		m.stop(now, r, withdrawn(errkind.NotRun))
+		return
+	}
 	m.refused(now, r, a.Verdict)
 }
 
