--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -6,7 +6,7 @@
 // It is a state machine under an explicit clock, without goroutine, socket or
 // lock. An entry feeds it what happens and carries out the actions it returns.
 // Times are durations on the entry's clock, which counts the time in which its
-// machine was suspended.
+// VM was suspended.
 //
 // The package may import errkind, identity, runs, sched and wire.
 package batch
--- a/internal/batchnode/clock.go
+++ b/internal/batchnode/clock.go
@@ -16,8 +16,8 @@
 // and counts the time in which the machine was suspended.
 type Clock func() time.Duration
 
-// BootTime is the Clock of this machine. The runtime's own clock stands still
-// while a machine is suspended: a process that was frozen for seconds would take
+// BootTime is the Clock of this VM. The runtime's own clock stands still
+// while a VM is suspended: a process that was frozen for seconds would take
 // what it believed before for fresh, and work on for callers who have long sent
 // their jobs elsewhere.
 func BootTime() time.Duration {
--- a/internal/batchnode/memory.go
+++ b/internal/batchnode/memory.go
@@ -95,7 +95,7 @@
 // StoredReport is a Memory in the platform's store.
 type StoredReport struct {
 	Store    store.Store
-	Key      string // of this machine's guard alone
+	Key      string // of this VM's guard alone
 	revision int64  // of the key, as far as known
 }
 
@@ -119,7 +119,7 @@
 	return nil, nil
 }
 
-// Save implements Memory. It writes over what stands there: only this machine's
+// Save implements Memory. It writes over what stands there: only this VM's
 // guard writes the key, and a conflict means that an earlier answer was lost.
 func (s *StoredReport) Save(ctx context.Context, rep *runs.Report) error {
 	value, err := json.Marshal(rep)
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -8,7 +8,7 @@
 // provably neither is at the worker nor will come there.
 //
 // Times are durations on the guard's clock, which counts the time in which its
-// machine was suspended.
+// VM was suspended.
 //
 // The package may import errkind, identity, sched and wire.
 package runs
@@ -167,7 +167,7 @@
 	// of the time.
 	renewEvery = 60 * time.Millisecond
 	// OrderTime is when an order counts as unanswered: a worker on the guard's own
-	// machine answers in one or two milliseconds, and the guard's processor pauses
+	// VM answers in one or two milliseconds, and the guard's processor pauses
 	// for up to 20 ms.
 	OrderTime = 40 * time.Millisecond
 	// startTries is how often a start is sent before it is given up.
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -195,7 +195,7 @@
 		e.Kind = errkind.BadRequest
 	case FencedOff, OtherWorker:
 		e.Kind = errkind.NoWorkers
-		m.lostGrip(now)
+		m.lostControl(now)
 	case Unhealthy:
 		e.Kind = errkind.UpstreamFailed
 	}
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -85,9 +85,9 @@
 	m.worker = wire.RunWorker{Leaving: m.leaving}
 }
 
-// lostGrip notes that the worker obeys somebody else or is another one. Its next
+// lostControl notes that the worker obeys somebody else or is another one. Its next
 // report brings it back.
-func (m *Machine) lostGrip(now time.Duration) {
+func (m *Machine) lostControl(now time.Duration) {
 	m.setUsable(now, false)
 	m.life.probe = true
 }
--- a/internal/settings/batch.go
+++ b/internal/settings/batch.go
@@ -59,9 +59,9 @@
 	[]field[BatchGuard]{
 		name("node", "name", "Name of this process, unique in the fleet.", func(g *BatchGuard) *string { return &g.Name }).need(),
 		addresses("entries", "addresses", "Addresses of entries. Others are learned from them and from the store.", func(g *BatchGuard) *[]string { return &g.Entries }),
-		address("listen", "reports", "", "Address for the reports of the worker on this machine.", func(g *BatchGuard) *string { return &g.Reports }).need(),
+		address("listen", "reports", "", "Address for the reports of the worker on this VM.", func(g *BatchGuard) *string { return &g.Reports }).need(),
 		address("listen", "metrics", "", "Address for counters; none if left out.", func(g *BatchGuard) *string { return &g.Metrics }),
-		address("worker", "address", "", "Address of the worker on this machine.", func(g *BatchGuard) *string { return &g.Worker }).need(),
+		address("worker", "address", "", "Address of the worker on this VM.", func(g *BatchGuard) *string { return &g.Worker }).need(),
 		address("store", "address", "", "Address of the platform's store.", func(g *BatchGuard) *string { return &g.Store }).need(),
 	},
 	batchLimits(func(g *BatchGuard) (*time.Duration, *int64) { return &g.Stop, &g.Memory }),
