--- a/internal/batch/tick.go
+++ b/internal/batch/tick.go
@@ -75,7 +75,7 @@
 }
 
 func (m *Machine) tickSites(now time.Duration) {
-	busy := m.sitesWithFlights()
+	busy := m.busySites()
 	for _, s := range m.sites {
 		if s == nil {
 			continue
@@ -85,10 +85,9 @@
 			m.view[s.place].Limit = 1
 			m.setState(s)
 		}
-		first, ok := busy[s]
 		switch {
-		case !ok:
-		case now-max(s.heard, first) > runs.PermitTime:
+		case !busy[s]:
+		case now-max(s.heard, s.since) > runs.PermitTime:
 			m.actions = append(m.actions, Action{Guard: s.guard, Drop: true})
 			m.GuardDown(now, s.guard)
 		case now-s.told >= runs.BeatEvery:
@@ -97,13 +96,13 @@
 	}
 }
 
-// sitesWithFlights gives the sites that owe an end, and since when: a guard that
-// had nothing to do was rightly silent before.
-func (m *Machine) sitesWithFlights() map[*site]time.Duration {
-	busy := make(map[*site]time.Duration)
+// busySites gives the sites that owe an end. Only these are expected to speak: a
+// guard that has nothing to do is rightly silent.
+func (m *Machine) busySites() map[*site]bool {
+	busy := make(map[*site]bool)
 	for _, f := range m.flights {
 		if f.lost == 0 {
-			busy[f.site] = f.site.since
+			busy[f.site] = true
 		}
 	}
 	return busy
