batchnode, platform: GET and DELETE are true at an entry that does not run the job

Cause: an entry answered 410 for a job that another entry runs, as entries have no links to each other. A caller that cancelled over another connection was told that there is no such job while its tasks went on.

Ruled out: links between entries (a second mesh for a rare call); a guard that answers from its runs (it does not know a job that still waits for room); a list of jobs in the store (a write a job).

Change: the entry asks the others over one guard, which relays the question and says how many it has asked.

Before, by reading: the state at the other entry was Unknown, answered with 410; the call Query did not exist, so its three tests did not build. After: go test ./internal/batchnode -run 'AnotherEntryRuns|NotCertain' passes.

Conclusion: a cancel is acknowledged only when the work is withdrawn wherever it was.

--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -113,10 +113,10 @@
 	Seed   uint64 // of every random choice
 }
 
-// State is what is known of a job.
+// State is what is known of a job. The numbers are part of the inner protocol.
 type State uint8
 
-// States of a job.
+// States of a job. One that ended without a final result is Unknown again.
 const (
 	Unknown State = iota
 	Queued
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -41,6 +41,7 @@
 	links   map[identity.Incarnation]wire.Link
 	waiters map[string][]*waiter
 	known   []string // addresses of entries
+	queries queries
 	alarm   *alarm
 	beat    time.Duration // when this process was last seen to run
 	woke    time.Duration // when it was last found to have been frozen
@@ -68,6 +69,7 @@
 		links:   make(map[identity.Incarnation]wire.Link),
 		waiters: make(map[string][]*waiter),
 		known:   []string{opt.Address},
+		queries: queries{open: make(map[uint64]*query)},
 	}
 	e.alarm = newAlarm(opt.Clock, func() {
 		e.step(func(now time.Duration, m *batch.Machine) { m.Tick(now) })
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -189,6 +189,10 @@
 		g.stepLocked(func(now time.Duration, m *runs.Machine) { m.Beat(now, l.entry, f.EntryBeat) })
 	case f.Desired != nil:
 		g.takeConfig(l, f.Desired)
+	case f.JobQuery != nil:
+		g.relayQuery(l, f.JobQuery)
+	case f.JobReport != nil:
+		g.relayReport(f.JobReport)
 	default:
 		g.opt.Metrics.Inc(telemetry.FramesUnknown)
 	}
--- /dev/null
+++ b/internal/batchnode/query_test.go
@@ -0,0 +1,92 @@
+package batchnode
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/batch"
+	"wigeontray/internal/errkind"
+)
+
+// A caller's second connection leads to another entry than the one that runs its
+// job. Asked there, the job was said not to exist, and the caller would give up an
+// escort that is being booked.
+func TestStateOfAJobThatAnotherEntryRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		a, b := f.entry("a"), f.entry("b")
+		w := newWorker(f, time.Minute)
+		f.guard(w, nil, "a", "b").Heard(w.report())
+		time.Sleep(time.Second)
+		f.tellEntries("a", "b")
+		go a.Submit(f.ctx, testJob("1", 1), 9*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		state, certain := b.Query(f.ctx, "1", false)
+		f.Check(state, qt.Equals, batch.Running)
+		f.Check(certain, qt.IsTrue)
+		state, certain = b.Query(f.ctx, "2", false)
+		f.Check(state, qt.Equals, batch.Unknown)
+		f.Check(certain, qt.IsTrue)
+	})
+}
+
+// A caller cancels over a connection to another entry than the one that runs its
+// job. Told that there is no such job, it believes the work has stopped, while the
+// task goes on and keeps its room from others.
+func TestCancelOfAJobThatAnotherEntryRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		a, b := f.entry("a"), f.entry("b")
+		w := newWorker(f, time.Minute)
+		f.guard(w, nil, "a", "b").Heard(w.report())
+		time.Sleep(time.Second)
+		f.tellEntries("a", "b")
+		outs := make(chan *batch.Outcome, 1)
+		go func() { outs <- a.Submit(f.ctx, testJob("1", 2), 9*time.Second) }()
+		time.Sleep(100 * time.Millisecond)
+		state, certain := b.Query(f.ctx, "1", true)
+		f.Check(state, qt.Equals, batch.Cancelled)
+		f.Check(certain, qt.IsTrue)
+		f.Check((<-outs).Err.Kind, qt.Equals, errkind.Cancelled)
+		time.Sleep(20 * time.Millisecond)
+		f.Check(w.running(), qt.Equals, 0)
+	})
+}
+
+// An entry is dark and may run the job that another one is asked for. "No such job"
+// would be a guess; the caller has to be told that it is not known.
+func TestStateIsNotCertainWhileAnEntryIsDark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.entry("a")
+		b := f.entry("b")
+		w := newWorker(f, time.Minute)
+		f.guard(w, nil, "a", "b").Heard(w.report())
+		time.Sleep(time.Second)
+		f.tellEntries("a", "b")
+		f.kill("a")
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		_, certain := b.Query(f.ctx, "1", false)
+		f.Check(certain, qt.IsFalse)
+		f.Check(time.Since(began) <= queryTries*queryTime, qt.IsTrue)
+		// Once its registration has ended it is known to be gone, and its jobs are.
+		f.tellEntries("b")
+		_, certain = b.Query(f.ctx, "1", false)
+		f.Check(certain, qt.IsTrue)
+	})
+}
+
+// tellEntries does what the list of entries in the store does.
+func (f *fleet) tellEntries(addresses ...string) {
+	for _, e := range f.entries {
+		e.SetEntries(append([]string(nil), addresses...))
+	}
+	synctest.Wait()
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -59,6 +59,8 @@
 	GuardBeat   *GuardBeat   `cbor:"30,keyasint,omitempty"`
 	Desired     *Desired     `cbor:"31,keyasint,omitempty"`
 	Entries     *Entries     `cbor:"32,keyasint,omitempty"`
+	JobQuery    *JobQuery    `cbor:"33,keyasint,omitempty"`
+	JobReport   *JobReport   `cbor:"34,keyasint,omitempty"`
 }
 
 // Hello opens a link from a guard to an entry and announces its upstream.
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -132,3 +132,21 @@
 type Entries struct {
 	Addresses []string `cbor:"1,keyasint"`
 }
+
+// JobQuery asks every other entry of a guard for a job. The guard relays it, as
+// entries have no links to each other, and tells From by a JobReport with Asked how
+// many entries it has relayed it to.
+type JobQuery struct {
+	Seq    uint64               `cbor:"1,keyasint"` // of From
+	From   identity.Incarnation `cbor:"2,keyasint"` // the entry that asks
+	Job    string               `cbor:"3,keyasint"`
+	Cancel bool                 `cbor:"4,keyasint,omitempty"` // the job is to be withdrawn where it is under way
+}
+
+// JobReport answers a JobQuery. The guard relays it to the entry To.
+type JobReport struct {
+	Seq   uint64               `cbor:"1,keyasint"`
+	To    identity.Incarnation `cbor:"2,keyasint"`
+	State int                  `cbor:"3,keyasint,omitempty"` // a batch.State; 0 if the sender does not know the job
+	Asked *int                 `cbor:"4,keyasint,omitempty"` // set by the guard: entries that were asked
+}
