--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -39,7 +39,7 @@
 	key := f.ticket(a)
 	first := f.submitted(caller(a, b), key, job(500, 1))
 	f.eventually("the task starts", func() bool { return f.starts() == 1 })
-	a.kill()
+	a.Kill()
 	answer := <-first
 	f.Assert(answer.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer.Body))
 	f.Assert(f.starts(), qt.Equals, 1)
@@ -54,7 +54,7 @@
 	f.worker("worker-1")
 	f.settled()
 	key := f.ticket(a)
-	a.kill()
+	a.Kill()
 	answer := <-f.submitted(caller(b), key, job(10, 1))
 	f.Assert(answer.Parsed.Error, qt.IsNotNil, qt.Commentf("%s", answer.Body))
 	f.Check(answer.Parsed.Error.Kind, qt.Equals, "not_run")
@@ -74,13 +74,12 @@
 	f.worker("worker-1")
 	f.settled()
 	key := f.ticket(a)
-	a.signal(syscall.SIGSTOP)
-	f.eventually("the entry is frozen", a.stopped)
+	a.Signal(syscall.SIGSTOP)
 	late := f.submitted(caller(a, b), key, job(10, 1))
 	answer := <-f.submitted(caller(b), key, job(10, 1))
 	f.Assert(answer.Parsed.Error, qt.IsNotNil, qt.Commentf("%s", answer.Body))
 	told := answer.Parsed.Error.Kind
-	a.signal(syscall.SIGCONT)
+	a.Signal(syscall.SIGCONT)
 	f.eventually("the entry that was frozen ends", func() bool { return f.status(a, "/healthz") == 0 })
 	<-late
 	if told == "not_run" {
@@ -99,7 +98,7 @@
 	first := f.submitted(caller(e), f.ticket(e), job(5000, 1))
 	f.eventually("the task starts", func() bool { return f.starts() == 1 })
 	f.worker("worker-2")
-	g.kill()
+	g.Kill()
 	a := <-first
 	f.Assert(a.Parsed.Error, qt.IsNotNil, qt.Commentf("%s", a.Body))
 	f.Assert(a.Parsed.Error.Kind, qt.Equals, "worker_lost")
@@ -139,13 +138,13 @@
 		})
 	}
 	f.eventually("load runs", func() bool { return f.starts() > 20 })
-	g.signal(syscall.SIGTERM)
-	a.signal(syscall.SIGTERM)
+	g.Signal(syscall.SIGTERM)
+	a.Signal(syscall.SIGTERM)
 	wg.Wait()
 	f.Assert(failed, qt.HasLen, 0)
 	f.Assert(f.starts(), qt.Equals, callers*jobs*2)
-	f.Assert(g.cmd.Wait(), qt.IsNil)
-	f.Assert(a.cmd.Wait(), qt.IsNil)
+	f.Assert(g.Wait(), qt.IsNil)
+	f.Assert(a.Wait(), qt.IsNil)
 }
 
 // The platform's store goes down for long. Running processes go on; an entry
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -16,14 +16,13 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"wigeontray/internal/client"
+	"wigeontray/internal/proctest"
 	"wigeontray/internal/record"
 	"wigeontray/internal/sample"
 	"wigeontray/internal/store"
@@ -45,9 +44,8 @@
 		panic(err)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir, "wigeontray/cmd/...")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	if err := proctest.Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
@@ -57,71 +55,8 @@
 
 // process is one started binary.
 type process struct {
-	cmd *exec.Cmd
-	log *syncBuffer
-}
-
-func (p *process) signal(sig syscall.Signal) {
-	_ = p.cmd.Process.Signal(sig)
-	if sig == syscall.SIGSTOP {
-		p.awaitStopped()
-	}
-}
-
-// awaitStopped waits until every thread of the process has stopped. The signal
-// is on its way when the call that sent it returns, and a thread that still runs
-// would take a request that the test meant for a frozen process.
-func (p *process) awaitStopped() {
-	for stopped := false; !stopped; time.Sleep(time.Millisecond) {
-		stopped = true
-		tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
-		for _, name := range tasks {
-			stat, _ := os.ReadFile(name)
-			_, state, _ := strings.Cut(string(stat), ") ")
-			stopped = stopped && strings.HasPrefix(state, "T")
-		}
-	}
-}
-
-// stopped tells whether every thread of the process has been stopped. A signal
-// reaches one thread first, and on a busy machine the others run on meanwhile.
-func (p *process) stopped() bool {
-	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
-	if err != nil || len(threads) == 0 {
-		return false
-	}
-	for _, file := range threads {
-		b, err := os.ReadFile(file)
-		_, state, found := strings.Cut(string(b), ") ") // after the name in brackets
-		if err != nil || !found || !strings.HasPrefix(state, "T") {
-			return false
-		}
-	}
-	return true
-}
-
-// kill ends the process at once, also when it is stopped, and waits for it.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	_ = p.cmd.Wait()
-}
-
-// syncBuffer collects the output of a process.
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
+	*proctest.Process
+	log *proctest.Buffer
 }
 
 // fleet is a store stand-in and upstreams in the test's process, and entries
@@ -232,11 +167,12 @@
 }
 
 func (f *fleet) start(binary string, args ...string) *process {
-	p := &process{cmd: exec.Command(filepath.Join(binaries, binary), args...), log: new(syncBuffer)}
-	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
-	f.Assert(p.cmd.Start(), qt.IsNil)
+	log := new(proctest.Buffer)
+	started, err := proctest.Start(log, nil, filepath.Join(binaries, binary), args...)
+	f.Assert(err, qt.IsNil)
+	p := &process{Process: started, log: log}
 	f.t.Cleanup(func() {
-		p.kill()
+		p.Kill()
 		if f.t.Failed() {
 			f.t.Logf("%s %s:\n%s", binary, strings.Join(args, " "), p.log)
 		}
--- a/internal/e2e/traces_test.go
+++ b/internal/e2e/traces_test.go
@@ -105,7 +105,7 @@
 	}
 	p.calls.Wait()
 	for _, g := range p.drained {
-		p.Check(g.cmd.Wait(), qt.IsNil, qt.Commentf("a drained guard ends well"))
+		p.Check(g.Wait(), qt.IsNil, qt.Commentf("a drained guard ends well"))
 	}
 	p.starts() // fails if a task started twice
 	p.Check(p.faults, qt.HasLen, 0)
@@ -134,11 +134,11 @@
 	case replay.OpRestart:
 		p.restart(ev.Target)
 	case replay.OpPause:
-		p.process(ev.Target).signal(syscall.SIGSTOP)
+		p.process(ev.Target).Signal(syscall.SIGSTOP)
 	case replay.OpResume:
-		p.process(ev.Target).signal(syscall.SIGCONT)
+		p.process(ev.Target).Signal(syscall.SIGCONT)
 	case replay.OpDrain:
-		p.process(ev.Target).signal(syscall.SIGTERM)
+		p.process(ev.Target).Signal(syscall.SIGTERM)
 		p.drained = append(p.drained, p.process(ev.Target))
 	case replay.OpStoreDown, replay.OpStoreUp:
 		p.kv.SetDown(ev.Op == replay.OpStoreDown)
@@ -157,7 +157,7 @@
 // killed ends a process. A dead guard leaves the lists of entries before the
 // trace goes on, else its successor could not be told from it.
 func (p *player) killed(name string) {
-	p.process(name).kill()
+	p.process(name).Kill()
 	if _, ok := p.entries[name]; ok {
 		delete(p.entries, name)
 		return
--- a/internal/pages/imports_test.go
+++ b/internal/pages/imports_test.go
@@ -29,7 +29,7 @@
 	for line := range strings.Lines(string(out)) {
 		fields := strings.Fields(line)
 		name := strings.TrimPrefix(fields[0], module)
-		if slices.Contains([]string{"wire/wiretest", "pages", "e2e"}, name) {
+		if slices.Contains([]string{"wire/wiretest", "proctest", "pages", "e2e"}, name) {
 			continue
 		}
 		may, listed := allowed[name]
