--- a/internal/settings/batch.go
+++ b/internal/settings/batch.go
@@ -10,7 +10,8 @@
 	FailureDomain string
 	Callers       string // listening address
 	Readiness     string // listening address
-	Links         string // listening address for guards; guards reach it there
+	Links         string // listening address for guards
+	Advertised    string // address where guards reach Links; Links itself if empty
 	Metrics       string // listening address; empty for none
 	Store         string // address of the platform's store
 	Stop          time.Duration
@@ -47,7 +48,8 @@
 		name("node", "failure_domain", "Failure domain of this process.", func(e *BatchEntry) *string { return &e.FailureDomain }).need(),
 		address("listen", "callers", "", "Address for callers.", func(e *BatchEntry) *string { return &e.Callers }).need(),
 		address("listen", "readiness", "", "Address for readiness.", func(e *BatchEntry) *string { return &e.Readiness }).need(),
-		address("listen", "links", "", "Address for guards, registered in the store.", func(e *BatchEntry) *string { return &e.Links }).need(),
+		address("listen", "links", "", "Address for guards.", func(e *BatchEntry) *string { return &e.Links }).need(),
+		address("listen", "links_advertised", "", "Address that is registered for guards, where it differs from links: behind an address translation or a relay.", func(e *BatchEntry) *string { return &e.Advertised }),
 		address("listen", "metrics", "", "Address for counters; none if left out.", func(e *BatchEntry) *string { return &e.Metrics }),
 		address("store", "address", "", "Address of the platform's store.", func(e *BatchEntry) *string { return &e.Store }).need(),
 	},
