wire, confsync: guards' lines name the request; acknowledgements that nothing used are gone

Cause: an entry that loses its power takes its log with it. The guards named the job that they had tasks of, not the request that a caller complains about. Ruled out: a line at the entry for each admission (several hundred a second, most of them of jobs that end well). Change: RunTasks carries the caller's name; 'tasks taken' prints it. A job of which nothing was sent still has no line.

confsync.Acked, Forget, Acks, MinAcked and WaitAcks were called by one test alone: entries count acknowledgements with their links (entry.links.acknowledged). Code and test of them go together; what entries count is tested in entry and peers.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -140,7 +140,7 @@
 	j.note(Event{At: now, What: Sent, Guard: at.guard, Tasks: len(b.tasks), Free: m.view[at.place].Free.CPU + sum.CPU, Age: now - at.heard})
 	m.frame(now, at, &wire.Frame{RunTasks: &wire.RunTasks{
 		Seq: at.seq, ClockMs: at.clockMs(now), Job: j.spec.ID, Text: j.spec.Text,
-		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks, Want: m.want(),
+		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks, Want: m.want(), Request: j.spec.Request,
 	}})
 }
 
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -180,7 +180,7 @@
 	}
 	switch {
 	case f.RunTasks != nil:
-		g.opt.Routine.Info("tasks taken", "job", f.RunTasks.Job, "entry", l.entry, "tasks", len(f.RunTasks.Tasks),
+		g.opt.Routine.Info("tasks taken", "job", f.RunTasks.Job, "request", f.RunTasks.Request, "entry", l.entry, "tasks", len(f.RunTasks.Tasks),
 			"age", g.opt.Clock()-time.Duration(f.RunTasks.ClockMs)*time.Millisecond, "left", time.Duration(f.RunTasks.LeftMs)*time.Millisecond)
 		g.stepLocked(func(now time.Duration, m *runs.Machine) { m.Run(now, l.entry, f.RunTasks) })
 	case f.StopRuns != nil:
--- a/internal/confsync/share_test.go
+++ b/internal/confsync/share_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"testing"
-	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -78,23 +77,3 @@
 		f.Assert(region(f.sync), qt.Equals, "lima")
 	})
 }
-
-func TestAcknowledgements(t *testing.T) {
-	run(t, func(f *fixture) {
-		revision := f.write("lima", 0)
-		synctest.Wait()
-		f.sync.Acked("guard-1", revision)
-		f.sync.Acked("guard-2", 1)
-		least, processes := f.sync.MinAcked()
-		f.Assert(least, qt.Equals, int64(1))
-		f.Assert(processes, qt.Equals, 2)
-		done := make(chan error, 1)
-		go func() { done <- f.sync.WaitAcks(f.t.Context(), revision) }()
-		synctest.Wait()
-		f.Assert(done, qt.HasLen, 0)
-		f.sync.Acked("guard-2", revision)
-		f.Assert(<-done, qt.IsNil)
-		f.sync.Forget("guard-1")
-		f.Assert(f.sync.Acks(), qt.DeepEquals, map[string]int64{"guard-2": revision})
-	})
-}
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -82,8 +82,6 @@
 	mu          sync.Mutex // guards changes of current, and what follows
 	subscribers map[int]chan struct{}
 	nextID      int
-	acks        map[string]int64
-	acked       chan struct{} // closed and replaced at each acknowledgement
 }
 
 // New makes a Sync that has no configuration yet; Run or Offer brings one.
@@ -100,7 +98,6 @@
 	}
 	return &Sync{
 		o: o, ready: make(chan struct{}), subscribers: map[int]chan struct{}{},
-		acks: map[string]int64{}, acked: make(chan struct{}),
 	}
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -48,3 +48,21 @@
 	c.Assert(Write(&b, nil), qt.IsNil)
 	c.Assert(b.String(), qt.Contains, "missing: every line")
 }
+
+// An entry loses its power with a job under way and leaves no line of it. The
+// caller's name for the request leads to the job by the guards' lines alone.
+func TestRequestOfAnEntryThatIsGoneIsFound(t *testing.T) {
+	c := qt.New(t)
+	const log = `{"time":"2026-01-01T00:00:01Z","level":"info","msg":"tasks taken","node":"side-1","job":"j1","request":"r1","tasks":2}
+{"time":"2026-01-01T00:00:02Z","level":"info","msg":"run ended","node":"side-1","job":"j1","outcome":"cancelled"}
+`
+	found, _, err := Read(nil, strings.NewReader(log), "r1")
+	c.Assert(err, qt.IsNil)
+	lines, _, err := Read(nil, strings.NewReader(log), JobOf(found, "r1"))
+	c.Assert(err, qt.IsNil)
+	var b strings.Builder
+	c.Assert(Write(&b, lines), qt.IsNil)
+	c.Assert(b.String(), qt.Contains, "tasks taken")
+	c.Assert(b.String(), qt.Contains, "run ended")
+	c.Assert(b.String(), qt.Contains, "missing: the answer")
+}
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -59,6 +59,9 @@
 	LeftMs  int64     `cbor:"5,keyasint"`           // time until they are of no use and are stopped
 	Tasks   []RunTask `cbor:"6,keyasint"`
 	Want    RunWant   `cbor:"7,keyasint"` // what is left without room after these
+	// Request is the caller's name for its submission, for the guard's log: an entry
+	// that loses its power leaves no line of the jobs that it had.
+	Request string `cbor:"8,keyasint,omitempty"`
 }
 
 // RunWant tells a guard what an entry's tasks that wait would take. The zero value
