batchnode: an entry that is listed twice is counted once

Cause: after all entries have restarted, their earlier registrations stand beside the new ones for up to 6 s. The list of addresses then has each twice, an entry reckons with half of its part of the workers, and refuses jobs as overloaded that had time; a question to the other entries is never certain either, as more are expected than are.

Ruled out: a registration by address instead of by incarnation (two processes at one address, as in a replacement, would take each other's).

Change: equal addresses are one. Test first: batchnode.TestEntryThatIsListedTwiceIsCountedOnce.

--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -186,12 +186,14 @@
 }
 
 // SetEntries notes where entries are, this one among them, and tells the guards
-// of a change.
+// of a change. An address may be listed twice: an entry that has restarted is, until
+// the registration of its earlier life lapses.
 func (e *Entry) SetEntries(addresses []string) {
 	if !slices.Contains(addresses, e.opt.Address) {
 		addresses = append(addresses, e.opt.Address)
 	}
 	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if slices.Equal(addresses, e.known) {
--- a/internal/batchnode/node_test.go
+++ b/internal/batchnode/node_test.go
@@ -455,3 +455,16 @@
 		f.Assert(e.Workers(), qt.Equals, 0)
 	})
 }
+
+// All entries lose their power and come back. Until their earlier registrations
+// lapse, the list names each address twice. Counted so, each entry reckoned with half
+// of its part of the workers, and refused jobs that had time for six seconds.
+func TestEntryThatIsListedTwiceIsCountedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		e := f.entry("a")
+		e.SetEntries([]string{"a", "b", "b", "a"})
+		f.Assert(e.machine.Snapshot().Entries, qt.Equals, 2)
+	})
+}
