runs, batch, settings: leases and heartbeats follow the time after which callers send again

Cause: lease, permit and beat were constants made for callers that send a job again after 1.3 s. Found by reading, before any deployment had it.

Ruled out: one shorter set of times for all (a lease of 180 ms costs twice the renewals and ends on pauses of a busy processor); refusing to start.

--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -16,6 +16,7 @@
 
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
+	"wigeontray/internal/runs"
 	"wigeontray/internal/sched"
 	"wigeontray/internal/wire"
 )
@@ -109,8 +110,9 @@
 
 // Options of a Machine.
 type Options struct {
-	Domain string // failure domain of the entry
-	Seed   uint64 // of every random choice
+	Domain string      // failure domain of the entry
+	Seed   uint64      // of every random choice
+	Timing runs.Timing // that for the default if left out
 }
 
 // State is what is known of a job. The numbers are part of the inner protocol.
@@ -152,10 +154,6 @@
 
 // A process that was frozen.
 const (
-	// StallTime is the pause after which an entry takes itself for having been
-	// frozen. Its callers may have left and sent their jobs elsewhere meanwhile. A
-	// busy processor pauses for less.
-	StallTime = 500 * time.Millisecond
 	// WakePause is how long an entry that has woken waits before it begins a job:
 	// the request may have lain unread for seconds, and that its caller has left
 	// shows only once the connection is read to its end.
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -57,6 +57,7 @@
 
 // New returns the machine of an entry that starts now.
 func New(now time.Duration, opt Options) *Machine {
+	opt.Timing = opt.Timing.OrDefault()
 	return &Machine{
 		opt:     opt,
 		rng:     rand.New(rand.NewPCG(opt.Seed, 0)),
--- a/internal/batch/random_test.go
+++ b/internal/batch/random_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/runs"
 )
 
 const (
@@ -17,8 +19,8 @@
 )
 
 // play sends jobs for a while, with faults at random moments, and lets all end.
-func play(seed uint64, jobs int, f simFaults, trouble func(s *sim)) *sim {
-	s := newSim(seed, simEntries, simGuards)
+func play(seed uint64, jobs int, resend time.Duration, f simFaults, trouble func(s *sim)) *sim {
+	s := newSim(seed, simEntries, simGuards, resend)
 	s.faults = f
 	start := s.now + 3*time.Second
 	s.run(start)
@@ -43,9 +45,9 @@
 	e, g := s.entries[s.rng.IntN(simEntries)], s.guards[s.rng.IntN(simGuards)]
 	switch s.rng.IntN(8) {
 	case 0:
-		e.frozen = s.now + s.someTime(4*time.Second)
+		e.frozen = max(e.frozen, s.now+s.someTime(4*time.Second)) // one freeze does not end another
 	case 1:
-		g.frozen = s.now + s.someTime(4*time.Second)
+		g.frozen = max(g.frozen, s.now+s.someTime(4*time.Second))
 	case 2:
 		s.killEntry(s.rng.IntN(simEntries), s.someTime(3*time.Second), false)
 	case 3:
@@ -82,7 +84,7 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := play(seed, simJobs, f, anyTrouble)
+			s := play(seed, simJobs, runs.DefaultResend, f, anyTrouble)
 			qt.Check(t, s.broken, qt.HasLen, 0)
 			qt.Check(t, s.counts.complete > s.counts.sent/2, qt.IsTrue, qt.Commentf("%+v", s.counts))
 		})
@@ -93,8 +95,25 @@
 // none is refused.
 func TestACalmDayIsServedWhole(t *testing.T) {
 	for seed := range uint64(5) {
-		s := play(seed, simJobs/2, simFaults{}, nil)
+		s := play(seed, simJobs/2, runs.DefaultResend, simFaults{}, nil)
 		qt.Check(t, s.broken, qt.HasLen, 0)
 		qt.Check(t, s.counts.complete, qt.Equals, s.counts.sent, qt.Commentf("seed %d: %+v", seed, s.counts))
 	}
 }
+
+// Callers send their jobs again after 700 ms. With leases made for more patient ones,
+// what a lost guard left behind ran beside the second run.
+func TestNoTaskRunsTwiceAtOnceForHastyCallers(t *testing.T) {
+	f := simFaults{lateOrder: 0.02, lostAnswer: 0.02, failRun: 0.01}
+	seeds := []uint64{827, 1231} // red with the times for callers of 1.3 s
+	for seed := range uint64(18) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := play(20_000+seed, simJobs, 700*time.Millisecond, f, anyTrouble)
+			qt.Check(t, s.broken, qt.HasLen, 0)
+			qt.Check(t, s.counts.complete > s.counts.sent/2, qt.IsTrue, qt.Commentf("%+v", s.counts))
+		})
+	}
+}
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -29,7 +29,8 @@
 	jobs    map[string]*simJob
 	running map[string]string // task to the worker that runs it
 	faults  simFaults
-	broken  []string // rules that were broken
+	resend  time.Duration // when callers without an answer send a job again
+	broken  []string      // rules that were broken
 	counts  simCounts
 }
 
@@ -111,9 +112,9 @@
 
 const simDelay = time.Millisecond
 
-func newSim(seed uint64, entries, guards int) *sim {
+func newSim(seed uint64, entries, guards int, resend time.Duration) *sim {
 	s := &sim{
-		rng:  rand.New(rand.NewPCG(seed, 1)),
+		rng: rand.New(rand.NewPCG(seed, 1)), resend: resend,
 		jobs: make(map[string]*simJob), running: make(map[string]string),
 		now: time.Hour,
 	}
@@ -134,7 +135,7 @@
 func (s *sim) newEntry(i, life int) *simEntry {
 	id := identity.Incarnation(fmt.Sprintf("e%d-%d", i, life))
 	return &simEntry{
-		s: s, id: id, m: batch.New(s.now, batch.Options{Domain: domainOf(i), Seed: s.rng.Uint64()}),
+		s: s, id: id, m: batch.New(s.now, batch.Options{Domain: domainOf(i), Seed: s.rng.Uint64(), Timing: runs.TimingFor(s.resend)}),
 		waiters: make(map[string]func(*batch.Outcome)),
 	}
 }
@@ -170,7 +171,7 @@
 		life++
 	}
 	g := &simGuard{
-		s: s, id: identity.Incarnation(fmt.Sprintf("g%d-%d", i, life)), m: runs.New(runs.Options{}),
+		s: s, id: identity.Incarnation(fmt.Sprintf("g%d-%d", i, life)), m: runs.New(runs.Options{Timing: runs.TimingFor(s.resend)}),
 		worker: s.workers[i], links: make(map[identity.Incarnation]*simLink),
 	}
 	s.guards[i] = g
--- a/internal/batch/simcaller_test.go
+++ b/internal/batch/simcaller_test.go
@@ -17,7 +17,7 @@
 	again := func() {
 		j.doubt = true
 		if !j.ended && s.now-j.began < 6*time.Second {
-			s.after(1300*time.Millisecond, func() { s.submit(j, patience) })
+			s.after(s.resend, func() { s.submit(j, patience) })
 		}
 	}
 	answer := func(out *batch.Outcome) {
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -6,7 +6,6 @@
 
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
-	"wigeontray/internal/runs"
 	"wigeontray/internal/sched"
 	"wigeontray/internal/wire"
 )
@@ -57,7 +56,7 @@
 }
 
 // GuardDown notes the loss of a guard's link. What runs there may go on for
-// runs.LossTime; only then is it started elsewhere. A job that has no time for
+// Timing.Loss; only then is it started elsewhere. A job that has no time for
 // that is answered at once.
 func (m *Machine) GuardDown(now time.Duration, guard identity.Incarnation) {
 	s := m.places[guard]
@@ -67,7 +66,7 @@
 	delete(m.places, guard)
 	m.sites[s.place] = nil
 	m.view[s.place] = sched.Site{}
-	free := now + runs.LossTime
+	free := now + m.opt.Timing.Loss()
 	m.anyLost = true
 	for _, f := range m.flightsInOrder() {
 		if f.site == s && f.lost == 0 {
--- a/internal/batch/tick.go
+++ b/internal/batch/tick.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"wigeontray/internal/errkind"
-	"wigeontray/internal/runs"
 )
 
 // Tick does what is due: deadlines, jobs that wait in vain, tasks of lost guards,
@@ -87,10 +86,10 @@
 		}
 		switch {
 		case !busy[s]:
-		case now-max(s.heard, s.since) > runs.PermitTime:
+		case now-max(s.heard, s.since) > m.opt.Timing.Permit:
 			m.actions = append(m.actions, Action{Guard: s.guard, Drop: true})
 			m.GuardDown(now, s.guard)
-		case now-s.told >= runs.BeatEvery:
+		case now-s.told >= m.opt.Timing.Beat:
 			m.beat(now, s)
 		}
 	}
@@ -124,8 +123,8 @@
 			sooner(f.lost)
 			continue
 		}
-		sooner(f.site.told + runs.BeatEvery)
-		sooner(max(f.site.heard, f.site.since) + runs.PermitTime + time.Millisecond)
+		sooner(f.site.told + m.opt.Timing.Beat)
+		sooner(max(f.site.heard, f.site.since) + m.opt.Timing.Permit + time.Millisecond)
 	}
 	for _, s := range m.sites {
 		if s != nil && s.sick {
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -11,6 +11,7 @@
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/pause"
+	"wigeontray/internal/runs"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 )
@@ -21,6 +22,7 @@
 	Domain  string // failure domain
 	Address string // where guards reach it
 	Seed    uint64
+	Timing  runs.Timing // that for the default if left out
 	Clock   Clock
 	Metrics *telemetry.Registry
 	Log     *log.Logger
@@ -62,10 +64,11 @@
 	if opt.Routine == nil {
 		opt.Routine = opt.Log
 	}
+	opt.Timing = opt.Timing.OrDefault()
 	e := &Entry{
 		opt:     opt,
 		id:      identity.NewIncarnation(opt.Name),
-		machine: batch.New(opt.Clock(), batch.Options{Domain: opt.Domain, Seed: opt.Seed}),
+		machine: batch.New(opt.Clock(), batch.Options{Domain: opt.Domain, Seed: opt.Seed, Timing: opt.Timing}),
 		links:   make(map[identity.Incarnation]wire.Link),
 		waiters: make(map[string][]*waiter),
 		known:   []string{opt.Address},
@@ -113,7 +116,7 @@
 }
 
 func (e *Entry) checkStall(now time.Duration) {
-	if e.beat == 0 || now-e.beat < batch.StallTime {
+	if e.beat == 0 || now-e.beat < e.opt.Timing.Stall() {
 		return
 	}
 	e.opt.Log.Warn("this process was frozen", "for", now-e.beat)
--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -28,6 +28,7 @@
 	Name    string   // of the process, for its incarnation
 	Entries []string // addresses of entries, to begin with
 	Worker  Worker
+	Timing  runs.Timing // that for the default if left out
 	Clock   Clock
 	Metrics *telemetry.Registry
 	Log     *log.Logger
@@ -78,7 +79,7 @@
 	g := &Guard{
 		opt:     opt,
 		id:      identity.NewIncarnation(opt.Name),
-		machine: runs.New(runs.Options{}),
+		machine: runs.New(runs.Options{Timing: opt.Timing}),
 		links:   make(map[identity.Incarnation]*guardLink),
 		dialing: make(map[string]bool),
 		changed: make(chan struct{}, 1),
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -152,15 +152,11 @@
 
 // Options of a Machine.
 type Options struct {
-	Lease time.Duration // of everything on the worker; LeaseTime if 0
+	Timing Timing // that for the default if left out
 }
 
 // Bounds in time of the machine.
 const (
-	// LeaseTime is how long the worker goes on without word from the guard. A
-	// shorter one frees the tasks of a lost guard sooner; it must outlast two
-	// renewals and a pause of the guard's processor of about 100 ms.
-	LeaseTime = 500 * time.Millisecond
 	// renewEvery is how long a Hold waits for an end. A busy worker answers sooner;
 	// the answer to one that is lost is missed only after this time. With 200 ms,
 	// and 4% of answers lost, guards heard nothing of their tasks for two thirds
@@ -172,21 +168,12 @@
 	OrderTime = 40 * time.Millisecond
 	// startTries is how often a start is sent before it is given up.
 	startTries = 3
-	// PermitTime is how old the newest word of an entry may be while the guard
-	// works for it. It outlasts two beats of the entry.
-	PermitTime = 600 * time.Millisecond
-	// BeatEvery is how often each end of a link with tasks is heard from.
-	BeatEvery = 200 * time.Millisecond
 	// StopTime bounds how long an acknowledged stop takes at the worker, with
 	// margin.
 	StopTime = 100 * time.Millisecond
-	// LossTime is how long after the loss of a guard its runs may go on: a guard
-	// cut off from an entry stops them when the permit ends; one that is gone
-	// lets the lease run out. Callers send a job again after 1.3 s.
-	LossTime = PermitTime + LeaseTime + clockSlack + StopTime
 	// retryOrder is the pause before an order without an answer is repeated.
 	retryOrder = 30 * time.Millisecond
-	// clockSlack is by how much longer than LeaseTime a lease may last. The
+	// clockSlack is by how much longer than Timing.Lease a lease may last. The
 	// worker's clock may be 2% slow: over the lease, and over the time since its
 	// last report, of which one comes every 1.5 s.
 	clockSlack = 50 * time.Millisecond
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -54,7 +54,7 @@
 
 // Machine is the state of one guard and its worker.
 type Machine struct {
-	lease   time.Duration
+	timing  Timing
 	entries map[identity.Incarnation]*permit
 	runs    map[Key]*run
 	taken   sched.Room
@@ -71,11 +71,8 @@
 
 // New returns the machine of a guard whose worker has not reported yet.
 func New(opt Options) *Machine {
-	if opt.Lease == 0 {
-		opt.Lease = LeaseTime
-	}
 	return &Machine{
-		lease:   opt.Lease,
+		timing:  opt.Timing.OrDefault(),
 		entries: make(map[identity.Incarnation]*permit),
 		runs:    make(map[Key]*run),
 		ends:    make(map[identity.Incarnation][]wire.RunEnd),
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -19,6 +19,9 @@
 	workerAhead = 7 * time.Second
 )
 
+// testTiming is the timing of rigs.
+var testTiming = TimingFor(DefaultResend)
+
 // rig is a machine with an adopted worker and one linked entry.
 type rig struct {
 	*qt.C
@@ -117,11 +120,11 @@
 	r.send(r.now, 0)
 	r.started(key(0), Done)
 	r.actions()
-	r.pass(PermitTime / 2)
+	r.pass(testTiming.Permit / 2)
 	r.Assert(sortOut(r.actions()).stops, qt.HasLen, 0)
-	r.pass(PermitTime)
+	r.pass(testTiming.Permit)
 	r.Assert(sortOut(r.actions()).stops, qt.DeepEquals, []Key{key(0)})
-	r.Assert(PermitTime+StopTime < 1300*time.Millisecond, qt.IsTrue)
+	r.Assert(testTiming.Permit+StopTime < 1300*time.Millisecond, qt.IsTrue)
 }
 
 // A frame with tasks is held up by a cut and arrives seconds later, when its job
@@ -326,7 +329,7 @@
 	}
 	r.Assert(ends, qt.HasLen, 1)
 	r.Assert(ends[0].Kind, qt.Equals, errkind.WorkerLost)
-	r.Assert(r.now >= sent+LeaseTime+clockSlack, qt.IsTrue)
+	r.Assert(r.now >= sent+testTiming.Lease+clockSlack, qt.IsTrue)
 	r.Assert(r.m.Worker().Usable, qt.IsFalse)
 }
 
@@ -343,7 +346,7 @@
 	r.send(r.now, 0)
 	for _, a := range r.actions() {
 		if a.Start != nil {
-			r.Assert(a.Start.UntilMs, qt.Equals, slow+LeaseTime.Milliseconds())
+			r.Assert(a.Start.UntilMs, qt.Equals, slow+testTiming.Lease.Milliseconds())
 		}
 	}
 }
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -50,7 +50,7 @@
 func (m *Machine) refusal(now time.Duration, p *permit, t *wire.RunTasks) errkind.Kind {
 	p.hear(t.ClockMs)
 	switch {
-	case now-milliseconds(t.ClockMs) > PermitTime:
+	case now-milliseconds(t.ClockMs) > m.timing.Permit:
 		return errkind.Fenced
 	case t.LeftMs <= 0:
 		return errkind.DeadlineExpired
--- a/internal/runs/tick.go
+++ b/internal/runs/tick.go
@@ -48,10 +48,10 @@
 		if p.runs == 0 {
 			continue
 		}
-		if now-p.newest > PermitTime {
+		if now-p.newest > m.timing.Permit {
 			m.stopAll(now, name, withdrawn(errkind.Fenced))
 		}
-		if p.linked && now-p.told >= BeatEvery {
+		if p.linked && now-p.told >= m.timing.Beat {
 			m.send(now, name, &wire.Frame{GuardBeat: &wire.GuardBeat{Load: m.Load(now, name)}})
 		}
 	}
@@ -69,14 +69,14 @@
 		switch {
 		case r.state != stopping:
 			sooner(r.deadline)
-			sooner(m.entries[r.entry].newest + PermitTime + time.Millisecond)
+			sooner(m.entries[r.entry].newest + m.timing.Permit + time.Millisecond)
 		case !r.stopSent && r.stopped == 0:
 			sooner(r.stopAt)
 		}
 	}
 	for _, p := range m.entries {
 		if p.runs > 0 && p.linked {
-			sooner(p.told + BeatEvery)
+			sooner(p.told + m.timing.Beat)
 		}
 		if p.offer.until > 0 {
 			sooner(p.offer.until)
--- /dev/null
+++ b/internal/runs/timing_test.go
@@ -0,0 +1,24 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Callers of another deployment send their jobs again sooner than those that the
+// times were first made for. A run that a lost guard left behind must have ended by
+// then all the same; beside it, the job would book two escorts.
+func TestLossEndsBeforeCallersSendAgain(t *testing.T) {
+	c := qt.New(t)
+	for _, resend := range []time.Duration{600, 700, 1000, 1299, 1300, 5000} {
+		resend *= time.Millisecond
+		timing := TimingFor(resend)
+		c.Check(timing.Loss() < resend, qt.IsTrue, qt.Commentf("%v: %+v", resend, timing))
+		c.Check(timing.Permit > 2*timing.Beat, qt.IsTrue)
+		c.Check(timing.Stall() < timing.Permit, qt.IsTrue)
+		c.Check(timing.Lease > 2*renewEvery+OrderTime, qt.IsTrue, qt.Commentf("%v: %+v", resend, timing))
+	}
+	c.Check(TimingFor(DefaultResend), qt.Equals, Timing{Lease: 500 * time.Millisecond, Permit: 600 * time.Millisecond, Beat: 200 * time.Millisecond})
+}
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -141,12 +141,12 @@
 func (m *Machine) leaseFrom(now time.Duration) Lease {
 	l := Lease{Worker: m.life.id, Token: m.life.token}
 	if m.life.known {
-		l.UntilMs = (now + m.life.offset + m.lease).Milliseconds()
+		l.UntilMs = (now + m.life.offset + m.timing.Lease).Milliseconds()
 	}
 	return l
 }
 
 // noteOrder notes that an order with a lease goes out now.
 func (m *Machine) noteOrder(now time.Duration) {
-	m.life.leaseEnd = max(m.life.leaseEnd, now+m.lease+clockSlack)
+	m.life.leaseEnd = max(m.life.leaseEnd, now+m.timing.Lease+clockSlack)
 }
--- a/internal/settings/batch.go
+++ b/internal/settings/batch.go
@@ -15,7 +15,8 @@
 	Metrics       string // listening address; empty for none
 	Store         string // address of the platform's store
 	Stop          time.Duration
-	Memory        int64 // megabytes
+	Resend        time.Duration // when callers without an answer send a job again
+	Memory        int64         // megabytes
 	Log           BoundedLog
 }
 
@@ -28,7 +29,8 @@
 	Metrics string   // listening address; empty for none
 	Store   string   // address of the platform's store
 	Stop    time.Duration
-	Memory  int64 // megabytes
+	Resend  time.Duration // when callers without an answer send a job again
+	Memory  int64         // megabytes
 	Log     BoundedLog
 }
 
@@ -39,6 +41,9 @@
 	QueueBytes     int64 // that wait for the reader, and that may come at once
 }
 
+// resendDoc is about the time that leases and heartbeats have to fit into.
+const resendDoc = "Time after which a caller without an answer sends its job again. What ran for a lost process has ended before it."
+
 // stopDoc is about the bound of a planned stop.
 const stopDoc = "Time from the request to stop until the process is killed."
 
@@ -53,7 +58,7 @@
 		address("listen", "metrics", "", "Address for counters; none if left out.", func(e *BatchEntry) *string { return &e.Metrics }),
 		address("store", "address", "", "Address of the platform's store.", func(e *BatchEntry) *string { return &e.Store }).need(),
 	},
-	batchLimits(func(e *BatchEntry) (*time.Duration, *int64) { return &e.Stop, &e.Memory }),
+	batchLimits(func(e *BatchEntry) (stop, resend *time.Duration, memory *int64) { return &e.Stop, &e.Resend, &e.Memory }),
 	boundedLogFields(func(e *BatchEntry) *BoundedLog { return &e.Log }),
 )
 
@@ -66,16 +71,17 @@
 		address("worker", "address", "", "Address of the worker on this VM.", func(g *BatchGuard) *string { return &g.Worker }).need(),
 		address("store", "address", "", "Address of the platform's store.", func(g *BatchGuard) *string { return &g.Store }).need(),
 	},
-	batchLimits(func(g *BatchGuard) (*time.Duration, *int64) { return &g.Stop, &g.Memory }),
+	batchLimits(func(g *BatchGuard) (stop, resend *time.Duration, memory *int64) { return &g.Stop, &g.Resend, &g.Memory }),
 	boundedLogFields(func(g *BatchGuard) *BoundedLog { return &g.Log }),
 )
 
-func batchLimits[T any](at func(*T) (stop *time.Duration, memory *int64)) []field[T] {
-	stop := seconds("limits", "stop_s", stopDoc, func(t *T) *time.Duration { d, _ := at(t); return d })
+func batchLimits[T any](at func(*T) (stop, resend *time.Duration, memory *int64)) []field[T] {
+	stop := seconds("limits", "stop_s", stopDoc, func(t *T) *time.Duration { d, _, _ := at(t); return d })
 	return []field[T]{
 		stop.need(),
+		millis("limits", "resend_ms", 1300, 600, 60_000, resendDoc, func(t *T) *time.Duration { _, d, _ := at(t); return d }),
 		integer("limits", "memory_mb", "megabytes", 128, 32, 1<<20, "Memory of the process. Above half of it garbage is collected more often.",
-			func(t *T) *int64 { _, n := at(t); return n }),
+			func(t *T) *int64 { _, _, n := at(t); return n }),
 	}
 }
 
