batch: in a large fleet, tasks that wait are told to the guards of the own failure domain first

An entry told all 72 guards each time that a first task waited, that none waited any more, and every 50 ms in between: by test 14,400 frames a second while a queue comes and goes, each with a write to a connection.

Ruled out: the decisions themselves (1.6 us an event with 72 guards and 30 jobs that wait, go test ./internal/batch -run '^$' -bench FullFleet); how room is dealt out among entries.

Change: the first task that waits is told to the guards of the entry's own failure domain, if these are twelve or more, and to all after a pause that grows with the fleet; that none waits is told to those that take it otherwise. Small fleets are told as before.

Tests first: batch.TestTellingWhatWaitsCostsLittleInALargeFleet (14,400 frames before), TestAllGuardsAreToldOfAJobThatGoesOnWaiting, TestAllGuardsOfASmallFleetAreToldAtOnce.

--- /dev/null
+++ b/internal/batch/bench_test.go
@@ -0,0 +1,45 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// BenchmarkFullFleet is an entry of a full fleet: 72 workers without room for a task,
+// 30 jobs that wait, and a guard's word that a run has ended, with some room.
+func BenchmarkFullFleet(b *testing.B) {
+	m := New(0, Options{Seed: 1})
+	const guards = 72
+	hello := func(i int) *wire.RunHello {
+		return &wire.RunHello{
+			Incarnation: identity.Incarnation(fmt.Sprint("g", i)),
+			Worker:      wire.RunWorker{ID: fmt.Sprint("w", i), Service: "s", Domain: fmt.Sprint(i % 5), Capacity: sched.Room{CPU: 64_000}, Usable: true},
+			Load:        wire.RunLoad{Free: sched.Room{CPU: 2000}},
+		}
+	}
+	for i := range guards {
+		m.GuardUp(0, hello(i))
+	}
+	q := *testQueue
+	q.Stretch = 1000
+	for i := range 30 {
+		j := testJob(fmt.Sprint("j", i), 4, 6000)
+		j.Queue = &q
+		if err := m.Submit(0, j); err != nil {
+			b.Fatal(err)
+		}
+	}
+	m.Actions(0)
+	now := time.Millisecond
+	for i := 0; b.Loop(); i++ {
+		guard := identity.Incarnation(fmt.Sprint("g", i%guards))
+		m.Ended(now, guard, &wire.RunsEnded{Load: wire.RunLoad{ClockMs: 1, Free: sched.Room{CPU: 5000}}})
+		m.Actions(now)
+		m.NextTick()
+	}
+}
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -51,6 +51,7 @@
 	anyLost bool          // a guard with flights was lost
 	told    wire.RunWant  // what guards were told of tasks that wait
 	toldAt  time.Duration // and when
+	toldAll bool          // all of them, and not those of the own failure domain alone
 
 	actions []Action
 }
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -136,11 +136,13 @@
 	for i := range b.tasks {
 		sum = sum.Plus(b.tasks[i].Need)
 	}
+	want := m.want()
+	at.wanting = want.CPU > 0
 	at.unseen = append(at.unseen, unseen{seq: at.seq, room: sum})
 	j.note(Event{At: now, What: Sent, Guard: at.guard, Tasks: len(b.tasks), Free: m.view[at.place].Free.CPU + sum.CPU, Age: now - at.heard})
 	m.frame(now, at, &wire.Frame{RunTasks: &wire.RunTasks{
 		Seq: at.seq, ClockMs: at.clockMs(now), Job: j.spec.ID, Text: j.spec.Text,
-		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks, Want: m.want(), Request: j.spec.Request,
+		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks, Want: want, Request: j.spec.Request,
 	}})
 }
 
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -22,9 +22,11 @@
 	heard  time.Duration
 	told   time.Duration
 	since  time.Duration // when the first of the runs that it has was sent
-	health sched.Health
-	sick   bool
-	until  time.Duration // end of its quarantine
+	// wanting tells that the guard takes it that tasks wait here.
+	wanting bool
+	health  sched.Health
+	sick    bool
+	until   time.Duration // end of its quarantine
 }
 
 type unseen struct {
@@ -137,24 +139,59 @@
 	m.view[s.place].Free = free
 }
 
-// tellEvery is how often guards are told anew what waits here while that changes.
-// Each time costs a frame for each guard.
-const tellEvery = 50 * time.Millisecond
+// tellEvery is how often guards are told anew what waits here while that changes, for
+// each tellGuards of them: each time costs a frame for each guard. At 72 guards, told
+// every 50 ms and at each first and last task that waited, an entry with a fifth of a
+// core spent more of it on that than on its jobs.
+const (
+	tellEvery  = 50 * time.Millisecond
+	tellGuards = 12
+)
+
+func (m *Machine) tellPause() time.Duration {
+	return tellEvery * time.Duration(1+len(m.places)/tellGuards)
+}
 
-// tellWant tells guards what waits here for room: when the first task waits, when
-// none does any more, and when its urgency has changed, but then not too often.
+// tellWant tells guards what waits here for room. The first task that waits is told to
+// the guards of the entry's own failure domain, where room is free again within
+// milliseconds, and to all if tasks still wait after a pause; that none waits any more
+// is told to those who take it otherwise, as they would hold room in vain.
 func (m *Machine) tellWant(now time.Duration) {
 	want := m.want()
 	switch {
-	case want == m.told:
-		return
-	case (want.CPU > 0) != (m.told.CPU > 0):
-	case now-m.toldAt < tellEvery:
+	case want == m.told && (m.toldAll || want.CPU == 0):
+	case want.CPU == 0:
+		m.tell(now, want, func(s *site) bool { return s.wanting })
+	case m.told.CPU == 0:
+		m.tellFirst(now, want)
+	case now-m.toldAt >= m.tellPause():
+		m.tell(now, want, func(*site) bool { return true })
+		m.toldAll = true
+	}
+}
+
+// tellFirst tells the guards of the own failure domain, or all if these are few.
+func (m *Machine) tellFirst(now time.Duration, want wire.RunWant) {
+	near := func(s *site) bool { return s.worker.Domain == m.opt.Domain }
+	n := 0
+	for _, s := range m.places {
+		if near(s) {
+			n++
+		}
+	}
+	if n >= tellGuards {
+		m.tell(now, want, near)
 		return
 	}
-	m.told, m.toldAt = want, now
+	m.tell(now, want, func(*site) bool { return true })
+	m.toldAll = true
+}
+
+// tell tells some guards what waits here.
+func (m *Machine) tell(now time.Duration, want wire.RunWant, to func(*site) bool) {
+	m.told, m.toldAt, m.toldAll = want, now, false
 	for _, s := range m.sites {
-		if s != nil {
+		if s != nil && to(s) {
 			m.beat(now, s)
 		}
 	}
@@ -183,6 +220,7 @@
 }
 
 func (m *Machine) beat(now time.Duration, s *site) {
+	s.wanting = m.told.CPU > 0
 	m.frame(now, s, &wire.Frame{EntryBeat: &wire.EntryBeat{ClockMs: s.clockMs(now), Want: m.told}})
 }
 
--- /dev/null
+++ b/internal/batch/tell_test.go
@@ -0,0 +1,92 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// fullFleet is an entry in the first of five failure domains, whose guards have no room.
+func fullFleet(guards int) *Machine {
+	m := New(0, Options{Seed: 1, Domain: "d0"})
+	for i := range guards {
+		m.GuardUp(0, &wire.RunHello{
+			Incarnation: identity.Incarnation(fmt.Sprint("g", i)),
+			Worker: wire.RunWorker{
+				ID: fmt.Sprint("w", i), Service: "s", Domain: fmt.Sprint("d", i%5), Capacity: sched.Room{CPU: 64_000}, Usable: true,
+			},
+		})
+	}
+	m.Actions(0)
+	return m
+}
+
+// told gives the guards that were sent a frame, with what it says of waiting tasks.
+func told(actions []Action) map[identity.Incarnation]bool {
+	out := make(map[identity.Incarnation]bool)
+	for _, a := range actions {
+		if a.Frame != nil && a.Frame.EntryBeat != nil {
+			out[a.Guard] = a.Frame.EntryBeat.Want.CPU > 0
+		}
+	}
+	return out
+}
+
+func waitingJob(id string) *Job {
+	j := testJob(id, 1, 4000)
+	q := *testQueue
+	q.Stretch = 100 // it waits
+	j.Queue = &q
+	return j
+}
+
+// A fleet is just full, so that a job waits for a few milliseconds again and again.
+// Told to all 72 guards each time, an entry with a fifth of a core spent most of it on
+// frames, and the callers of its failure domain waited for half a second.
+func TestTellingWhatWaitsCostsLittleInALargeFleet(t *testing.T) {
+	m := fullFleet(72)
+	frames := 0
+	for i := range 100 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		id := fmt.Sprint("j", i)
+		qt.Assert(t, m.Submit(now, waitingJob(id)) == nil, qt.IsTrue)
+		frames += len(m.Actions(now))
+		m.Cancel(now+5*time.Millisecond, id)
+		frames += len(told(m.Actions(now + 5*time.Millisecond)))
+	}
+	qt.Check(t, frames <= 100*2*15, qt.IsTrue, qt.Commentf("%d frames in a second", frames))
+}
+
+// The own failure domain stays full. A job that went on waiting for it alone would be
+// late while the workers elsewhere have room.
+func TestAllGuardsAreToldOfAJobThatGoesOnWaiting(t *testing.T) {
+	m := fullFleet(72)
+	qt.Assert(t, m.Submit(0, waitingJob("j")) == nil, qt.IsTrue)
+	first := told(m.Actions(0))
+	qt.Check(t, first, qt.HasLen, 15)
+	next := m.NextTick()
+	qt.Assert(t, next > 0 && next <= m.tellPause(), qt.IsTrue, qt.Commentf("%v", next))
+	m.Tick(next)
+	qt.Check(t, told(m.Actions(next)), qt.HasLen, 72)
+	// And when it does not wait any more, all of them are.
+	m.Cancel(next, "j")
+	last := told(m.Actions(next))
+	qt.Check(t, last, qt.HasLen, 72)
+	for guard, waits := range last {
+		qt.Check(t, waits, qt.IsFalse, qt.Commentf("%s", guard))
+	}
+}
+
+// In a small fleet the few guards of a failure domain may be busy for long: all are
+// told at once, for a frame each.
+func TestAllGuardsOfASmallFleetAreToldAtOnce(t *testing.T) {
+	m := fullFleet(11)
+	qt.Assert(t, m.Submit(0, waitingJob("j")) == nil, qt.IsTrue)
+	qt.Check(t, told(m.Actions(0)), qt.HasLen, 11)
+}
--- a/internal/batch/tick.go
+++ b/internal/batch/tick.go
@@ -131,5 +131,8 @@
 			sooner(s.until)
 		}
 	}
+	if m.told.CPU > 0 && !m.toldAll {
+		sooner(m.toldAt + m.tellPause())
+	}
 	return next
 }
