runs: the runs of a worker that announces its end are given back when they have ended

Cause: a guard took a worker's announcement of its end for its end, and told entries at once that what ran there was lost. The worker ends a moment later; for that time its tasks ran beside those that had been started elsewhere.

Ruled out: the stand-in (the platform's page has the worker end after its announcement); a lease that was reckoned wrongly (it had 400 ms to go).

Change: its lease is not renewed, its runs are stopped, and each is given back when the worker lists its end, a successor answers at the address, or the lease is over.

--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -32,6 +32,8 @@
 	l := &m.life
 	h := &Hold{Lease: m.leaseFrom(now), Ack: l.cursor}
 	switch {
+	case l.left:
+		h.UntilMs, h.Wait = 0, m.holdWait(now) // it ends
 	case l.silent > 0:
 		// Renewed blindly, the lease of a worker that hears and cannot be heard
 		// would never end, and its tasks could not be given to another.
@@ -98,6 +100,7 @@
 		m.takeEnds(now, a.Ended)
 		m.reconcile(now, a.Active)
 		m.setUsable(now, !l.strays)
+		m.endLeft(now)
 	case OtherWorker:
 		m.endLife(now)
 		m.announce(now)
--- a/internal/runs/tick.go
+++ b/internal/runs/tick.go
@@ -28,6 +28,7 @@
 	if m.life.silent >= silentHolds && now >= m.life.leaseEnd {
 		m.letGo(now)
 	}
+	m.endLeft(now)
 }
 
 // letGo settles all runs: those of a worker that has not answered for the time of
@@ -87,7 +88,7 @@
 	if !m.life.holding && m.wantsHold() {
 		sooner(m.life.holdAt)
 	}
-	if m.life.silent >= silentHolds && len(m.runs) > 0 {
+	if (m.life.left || m.life.silent >= silentHolds) && len(m.runs) > 0 {
 		sooner(m.life.leaseEnd)
 	}
 	return next
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wigeontray/internal/errkind"
 	"wigeontray/internal/wire"
 )
 
@@ -17,6 +18,7 @@
 	acked    int64         // ends up to this number were acknowledged
 	leaseEnd time.Duration // when what runs there has ended without another order
 	strays   bool          // runs of an earlier guard may be there
+	left     bool          // it has announced its end, and may run on for a moment
 
 	holding  bool // a Hold is under way
 	holdSent time.Duration
@@ -66,7 +68,11 @@
 	m.worker.Capacity = rep.Capacity
 }
 
-// Left notes that a worker has ended as announced.
+// Left notes that a worker ends, as it has just announced. What runs there may go on
+// for as long as the worker takes to end: a task that was started elsewhere at once
+// ran twice for that time. Its lease is not renewed any more, and its runs are given
+// back when the worker lists them as ended, a successor answers at its address, or the
+// lease is over.
 func (m *Machine) Left(now time.Duration, id string) {
 	if m.next != nil && m.next.ID == id {
 		m.next = nil
@@ -74,6 +80,20 @@
 	if id == "" || id != m.life.id {
 		return
 	}
+	m.life.left = true
+	m.worker.Leaving, m.worker.Usable = true, false
+	m.announce(now)
+	for _, r := range m.inOrder() {
+		m.stop(now, r, wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes})
+	}
+	m.endLeft(now)
+}
+
+// endLeft ends the life of a worker that has left once nothing of it can run.
+func (m *Machine) endLeft(now time.Duration) {
+	if !m.life.left || len(m.runs) > 0 && now < m.life.leaseEnd {
+		return
+	}
 	m.endLife(now)
 	m.announce(now)
 }
