--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -140,9 +140,10 @@
 }
 
 // tellEvery is how often guards are told anew what waits here while that changes, for
-// each tellGuards of them: each time costs a frame for each guard. At 72 guards, told
-// every 50 ms and at each first and last task that waited, an entry with a fifth of a
-// core spent more of it on that than on its jobs.
+// each tellGuards of them: each time costs a frame for each guard. Told every 50 ms, and
+// at each first and last task that waited, 72 guards cost an entry up to 14,400 frames a
+// second; with a fifth of a core it served three quarters of its callers, and nine
+// tenths of them with these bounds (a simulated day of heavy load).
 const (
 	tellEvery  = 50 * time.Millisecond
 	tellGuards = 12
