--- a/internal/batchnode/query_test.go
+++ b/internal/batchnode/query_test.go
@@ -16,13 +16,8 @@
 // escort that is being booked.
 func TestStateOfAJobThatAnotherEntryRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
+		f, a, b, _ := twoEntries(t)
 		defer f.stop()
-		a, b := f.entry("a"), f.entry("b")
-		w := newWorker(f, time.Minute)
-		f.guard(w, nil, "a", "b").Heard(w.report())
-		time.Sleep(time.Second)
-		f.tellEntries("a", "b")
 		go a.Submit(f.ctx, testJob("1", 1), 9*time.Second)
 		time.Sleep(100 * time.Millisecond)
 		state, certain := b.Query(f.ctx, "1", false)
@@ -39,13 +34,8 @@
 // task goes on and keeps its room from others.
 func TestCancelOfAJobThatAnotherEntryRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
+		f, a, b, w := twoEntries(t)
 		defer f.stop()
-		a, b := f.entry("a"), f.entry("b")
-		w := newWorker(f, time.Minute)
-		f.guard(w, nil, "a", "b").Heard(w.report())
-		time.Sleep(time.Second)
-		f.tellEntries("a", "b")
 		outs := make(chan *batch.Outcome, 1)
 		go func() { outs <- a.Submit(f.ctx, testJob("1", 2), 9*time.Second) }()
 		time.Sleep(100 * time.Millisecond)
@@ -62,14 +52,8 @@
 // would be a guess; the caller has to be told that it is not known.
 func TestStateIsNotCertainWhileAnEntryIsDark(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
+		f, _, b, _ := twoEntries(t)
 		defer f.stop()
-		f.entry("a")
-		b := f.entry("b")
-		w := newWorker(f, time.Minute)
-		f.guard(w, nil, "a", "b").Heard(w.report())
-		time.Sleep(time.Second)
-		f.tellEntries("a", "b")
 		f.kill("a")
 		time.Sleep(100 * time.Millisecond)
 		began := time.Now()
@@ -83,6 +67,18 @@
 	})
 }
 
+// twoEntries is a fleet of entries a and b, which know of each other, and a guard whose
+// worker takes a minute for a task.
+func twoEntries(t *testing.T) (f *fleet, a, b *Entry, w *worker) {
+	f = newFleet(t)
+	a, b = f.entry("a"), f.entry("b")
+	w = newWorker(f, time.Minute)
+	f.guard(w, nil, "a", "b").Heard(w.report())
+	time.Sleep(time.Second)
+	f.tellEntries("a", "b")
+	return f, a, b, w
+}
+
 // tellEntries does what the list of entries in the store does.
 func (f *fleet) tellEntries(addresses ...string) {
 	for _, e := range f.entries {
