--- a/internal/batch/tell_test.go
+++ b/internal/batch/tell_test.go
@@ -47,8 +47,8 @@
 }
 
 // A fleet is just full, so that a job waits for a few milliseconds again and again.
-// Told to all 72 guards each time, an entry with a fifth of a core spent most of it on
-// frames, and the callers of its failure domain waited for half a second.
+// Told to all 72 guards each time, an entry with a fifth of a core did not get on with
+// its jobs, and a quarter of the callers of its failure domain were not served.
 func TestTellingWhatWaitsCostsLittleInALargeFleet(t *testing.T) {
 	m := fullFleet(72)
 	frames := 0
