platform, httpserve: a request whose caller has left is not begun; reports and entries of another writer name no worker

Cause: net/http tells a handler that its caller has left only once a goroutine has read the end of the connection. A request that a cut held up arrives together with that end, so that its tasks were started and stopped some milliseconds later, beside the job's second run at another entry. An entry now looks into the receive buffer (recv with MSG_PEEK) before it begins a job. Ruled out: a short wait before each request, which every caller would pay for.

A report with an unknown state, a field missing or of another type counted as a ready worker (or as one without room for as long as it lived); a stored report likewise; and whatever stood under the prefix of the entries was dialed and counted as an entry. One check (runs.Report.Check) now serves both reports, addresses have to be IP and port, one line and one counter tell what was passed over.

--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -235,6 +235,13 @@
 	}
 }
 
+// CallerLeft notes a request that is not begun, as its caller had left before it was
+// read.
+func (e *Entry) CallerLeft(job *batch.Job) {
+	e.opt.Metrics.Inc(telemetry.CallersGone)
+	e.opt.Log.Info("request not begun", "job", job.ID, "request", job.Request, "cause", "its caller has left")
+}
+
 func (e *Entry) begin(job *batch.Job, left time.Duration) (*waiter, *batch.Outcome) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/batchnode/memory.go
+++ b/internal/batchnode/memory.go
@@ -10,6 +10,7 @@
 
 	"wigeontray/internal/runs"
 	"wigeontray/internal/store"
+	"wigeontray/internal/telemetry"
 )
 
 // A worker reports every second and a half. After all guards were killed, the
@@ -43,6 +44,9 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	rep, err := g.opt.Memory.Load(ctx)
+	if errors.Is(err, ErrForeign) {
+		g.opt.Metrics.Inc(telemetry.ForeignItems)
+	}
 	if err != nil {
 		g.opt.Log.Warn("last report of the worker not read, waiting for the next", "err", err)
 		return
@@ -92,6 +96,9 @@
 	}
 }
 
+// ErrForeign marks what lies in the store in another form than this program writes.
+var ErrForeign = errors.New("not of the expected form")
+
 // StoredReport is a Memory in the platform's store.
 type StoredReport struct {
 	Store    store.Store
@@ -112,7 +119,10 @@
 		s.revision = kv.ModRevision
 		rep := new(runs.Report)
 		if err := json.Unmarshal(kv.Value, rep); err != nil {
-			return nil, fmt.Errorf("decode last report: %w", err)
+			return nil, fmt.Errorf("%w: last report: %w", ErrForeign, err)
+		}
+		if err := rep.Check(); err != nil {
+			return nil, fmt.Errorf("%w: last report: %w", ErrForeign, err)
 		}
 		return rep, nil
 	}
--- a/internal/batchnode/upkeep.go
+++ b/internal/batchnode/upkeep.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"wigeontray/internal/pause"
 	"wigeontray/internal/store"
+	"wigeontray/internal/telemetry"
 )
 
 // Timing of what an entry does at the store.
@@ -147,25 +150,67 @@
 	return nil
 }
 
-// Addresses reads where entries are registered.
-func Addresses(ctx context.Context, st store.Store, prefix string) ([]string, error) {
-	kvs, _, err := st.Range(ctx, prefix)
+// Listing reads where entries are registered.
+type Listing struct {
+	Store   store.Store
+	Prefix  string // of the keys of registrations
+	Log     *log.Logger
+	Metrics *telemetry.Registry
+
+	mu     sync.Mutex
+	passed map[string]bool // keys that were passed over, each told once
+}
+
+// Addresses gives the addresses that are listed. Another writer may have put something
+// else under the prefix: dialed, it would cost each guard a connection every second,
+// and counted as an entry, each true one would take its part of the workers for smaller.
+func (l *Listing) Addresses(ctx context.Context) ([]string, error) {
+	kvs, _, err := l.Store.Range(ctx, l.Prefix)
 	if err != nil {
 		return nil, fmt.Errorf("list entries: %w", err)
 	}
 	out := make([]string, 0, len(kvs))
 	for _, kv := range kvs {
+		if err := checkAddress(kv.Value); err != nil {
+			l.passOver(kv.Key, err)
+			continue
+		}
 		out = append(out, string(kv.Value))
 	}
 	return out, nil
 }
 
-// KeepListed passes on the list of entries, as it changes, until ctx ends. A
-// failure leaves the last list: the store's word alone does not make an entry
-// gone.
-func KeepListed(ctx context.Context, st store.Store, prefix string, found func([]string)) {
+// checkAddress tells why a value is no IP address with a port, or nil.
+func checkAddress(value []byte) error {
+	a, err := netip.ParseAddrPort(string(value))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrForeign, err)
+	}
+	if a.Port() == 0 || a.Addr().IsUnspecified() {
+		return fmt.Errorf("%w: %s is no address to dial", ErrForeign, a)
+	}
+	return nil
+}
+
+func (l *Listing) passOver(key string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.passed[key] {
+		return
+	}
+	if l.passed == nil {
+		l.passed = make(map[string]bool)
+	}
+	l.passed[key] = true
+	l.Metrics.Inc(telemetry.ForeignItems)
+	l.Log.Warn("listed entry passed over", "key", key, "err", err)
+}
+
+// Keep passes on the list of entries, as it changes, until ctx ends. A failure leaves
+// the last list: the store's word alone does not make an entry gone.
+func (l *Listing) Keep(ctx context.Context, found func([]string)) {
 	for ctx.Err() == nil {
-		if list, err := Addresses(ctx, st, prefix); err == nil && len(list) > 0 {
+		if list, err := l.Addresses(ctx); err == nil && len(list) > 0 {
 			found(list)
 		}
 		pause.For(ctx, spread(2*listEvery))
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -64,6 +64,7 @@
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.HeaderBytes,
+		ConnContext:       keepConn,
 	}}
 }
 
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -15,6 +15,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -47,6 +49,27 @@
 	Capacity sched.Room
 }
 
+// Check tells why a report names no worker to use, or nil. Another writer may have
+// made it: without a clock, its worker would get a fencing token below those of earlier
+// guards, and without a capacity it would look full for as long as it lives.
+func (r *Report) Check() error {
+	switch {
+	case r.ID == "":
+		return errors.New("report without id")
+	case r.Service == "":
+		return errors.New("report without service")
+	case r.Domain == "":
+		return errors.New("report without failure domain")
+	case r.Seq < 0:
+		return fmt.Errorf("report with number %d", r.Seq)
+	case r.ClockMs <= 0:
+		return fmt.Errorf("report with a clock of %d ms", r.ClockMs)
+	case r.Capacity.CPU <= 0 || r.Capacity.MemoryMB <= 0 || r.Capacity.GPUs < 0:
+		return fmt.Errorf("report with a capacity of %+v", r.Capacity)
+	}
+	return nil
+}
+
 // Lease is what every order to the worker carries.
 type Lease struct {
 	Worker  string // the life that is meant; any other refuses
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -29,6 +29,8 @@
 	FramesUnknown
 	FramesRefused
 	ConfigsApplied
+	ForeignItems
+	CallersGone
 	counterCount
 )
 
@@ -106,6 +108,8 @@
 	FramesUnknown:    {Name: "wigeontray_frames_unknown_total", Help: "Frames of a kind that only a newer version knows; they were passed over."},
 	FramesRefused:    {Name: "wigeontray_frames_refused_total", Help: "Frames that their sender may not send: of a guard whose key is not verified yet, of the other kind of link, or about another member's job. They had no effect."},
 	ConfigsApplied:   {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
+	ForeignItems:     {Name: "wigeontray_foreign_items_total", Help: "Reports of workers, stored reports and listed addresses that are not of the expected form; they were passed over."},
+	CallersGone:      {Name: "wigeontray_callers_gone_total", Help: "Requests that were read after their caller had ended the connection; nothing was started for them."},
 }
 
 var gaugeFamilies = [gaugeCount]Family{
