runs, batch: a slow worker is found by how its runs advance, and what would end sooner elsewhere moves

Cause: quarantine waits for 12 runs of which 8 were slow, as seen by one entry, at their ends. When two of eleven workers turn 5.6 times slower, these ends come after five times the usual run time: for seven seconds 12 to 18% of a window's requests were late. A worker shows the progress of each run in every answer to its guard; the guard now judges the five newest jobs by it after 40 ms, tells the entries, which shut the worker out, and stops the runs that would end sooner elsewhere, each task once.

The fake worker of batchnode's tests now lists the true percent of each run; it listed a count of its own answers.

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -10,7 +10,7 @@
 
 // expect is the run time that is expected of a step's tasks.
 func (m *Machine) expect(q *Queue, s *Step) time.Duration {
-	if r := m.learned[q.Name]; r != nil {
+	if r := m.learned[q.Name]; r != nil && !m.opt.Off.Has(policy.LearnedTimes) {
 		return r.Expect(s.Estimate)
 	}
 	return s.Estimate
@@ -68,6 +68,9 @@
 		return err
 	}
 	least := time.Duration(quickShare * float64(chain))
+	if m.opt.Off.Has(policy.QuickShare) {
+		least = chain
+	}
 	if end := now + wait + least; end > spec.Deadline {
 		return refusal(errkind.CannotFinishInTime, m.spread(max(afterOverloaded, wait)),
 			"it would start in %v and end %v after its deadline", wait.Round(time.Millisecond), (end - spec.Deadline).Round(time.Millisecond))
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -38,6 +38,7 @@
 	run      int64 // number of its last start
 	failed   int   // runs that failed
 	refusals int
+	moved    bool    // a run of it was given back as too slow, or stood still
 	avoid    []*site // sites where it failed or was lost
 }
 
--- a/internal/batch/load_test.go
+++ b/internal/batch/load_test.go
@@ -51,8 +51,12 @@
 	ofRoom float64 // work that is asked for, by the room of all workers
 	length time.Duration
 	off    policy.Set
+	slow   int // workers that turn slow after a quarter of the length, for half of it
 }
 
+// loadSlowBy is by how much the slow workers of a load are slower.
+const loadSlowBy = 5.6
+
 const (
 	loadEntries = 3
 	loadGuards  = 10
@@ -113,6 +117,11 @@
 		id := fmt.Sprintf("%016x", n)
 		s.at(at, func() { s.ask(id, &mix[which], &r.kinds[which]) })
 	}
+	for i := range l.slow {
+		w := s.workers[i]
+		s.at(start+l.length/4, func() { w.slowBy = loadSlowBy })
+		s.at(start+3*l.length/4, func() { w.slowBy = 0 })
+	}
 	s.run(start + l.length + 6*time.Second)
 	r.busy = s.worked / (l.length.Seconds() * room)
 	r.wasted = s.wasted / s.worked
@@ -228,3 +237,21 @@
 	with, without := inTime(), inTime(policy.UrgentOffers)
 	qt.Check(t, with > without+0.05, qt.IsTrue, qt.Commentf("%.3f, %.3f without", with, without))
 }
+
+// Two of ten workers turn five times slower while there is room to spare. Noticed only by
+// the ends of their runs, they went on getting a fifth of the tasks for seconds, and every
+// job with one of these was late: a school party waits in the snow for its answer.
+func TestSlowWorkersAreNoticedByHowTheirRunsAdvance(t *testing.T) {
+	missed := func(off ...policy.Mechanism) float64 {
+		sum := 0.0
+		for seed := range uint64(loadSeeds) {
+			r := load{seed: seed + 1, ofRoom: 0.5, length: loadLength, slow: 2, off: policy.Of(off...)}.play()
+			qt.Assert(t, r.broken, qt.HasLen, 0)
+			t.Logf("seed %d: %s", seed+1, r)
+			sum += (1 - r.served()) / loadSeeds
+		}
+		return sum
+	}
+	with, without := missed(), missed(policy.PaceWatch)
+	qt.Check(t, with < 0.6*without, qt.IsTrue, qt.Commentf("%.3f, %.3f without", with, without))
+}
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -265,6 +265,9 @@
 			return
 		}
 		m.avoid(f, t)
+	case e.Kind == errkind.Stalled:
+		t.moved = true
+		m.avoid(f, t)
 	case e.Kind == errkind.Busy:
 		// The guard has told what is free there; the task waits or goes elsewhere.
 		j.again(f.step, f.key.Index)
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -146,6 +146,9 @@
 		Service: j.spec.Queue.Service, Need: s.spec.Need, Label: s.spec.Label, Rack: s.spec.Rack,
 		Domain: m.opt.Domain,
 	}
+	if m.opt.Off.Has(policy.OwnDomain) {
+		ask.Domain = ""
+	}
 	if s.spec.PerWorker > 0 || len(t.avoid) > 0 {
 		ask.Avoid = func(i int) bool {
 			at := m.sites[i]
@@ -176,7 +179,7 @@
 	v.Free = v.Free.Minus(s.spec.Need)
 	return wire.RunTask{
 		Step: s.number, Index: index, Run: t.run, Need: s.spec.Need,
-		ExpectMs: m.expect(j.spec.Queue, s.spec).Milliseconds(),
+		ExpectMs: m.expect(j.spec.Queue, s.spec).Milliseconds(), Moved: t.moved,
 	}
 }
 
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -28,6 +28,7 @@
 	ended    []runs.Ended
 	number0  int64
 	waiting  *simHold
+	slowBy   float64 // how many times longer a run takes; 0 for not
 }
 
 type simRun struct {
@@ -157,6 +158,9 @@
 	if job.took > 0 {
 		took = time.Duration(float64(job.took) * (0.85 + 0.3*s.rng.Float64()))
 	}
+	if w.slowBy > 0 {
+		took = time.Duration(w.slowBy * float64(took))
+	}
 	r := &simRun{key: k, room: step.Need, began: s.now, takes: took}
 	w.active[k] = r
 	how := runs.EndDone
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -96,6 +96,7 @@
 	}
 	if b.Worker != nil {
 		m.describe(s, b.Worker)
+		m.noteSlow(now, s)
 	}
 	m.takeLoad(now, s, &b.Load)
 	m.pump(now)
@@ -183,7 +184,7 @@
 			n++
 		}
 	}
-	if n >= tellGuards {
+	if n >= tellGuards && !m.opt.Off.Has(policy.NearTold) {
 		m.tell(now, want, near)
 		return
 	}
@@ -264,10 +265,25 @@
 	default:
 		return
 	}
-	if !s.sick && s.health.Sick() && m.mayBar() {
-		s.sick = true
-		s.until = s.health.Quarantine(time.Time{}.Add(now)).Sub(time.Time{})
-		m.setState(s)
+	if s.health.Sick() {
+		m.bar(now, s)
+	}
+}
+
+// bar keeps a worker from new tasks for a while, unless too few would be left.
+func (m *Machine) bar(now time.Duration, s *site) {
+	if s.sick || !m.mayBar() || m.opt.Off.Has(policy.Quarantine) {
+		return
+	}
+	s.sick = true
+	s.until = s.health.Quarantine(time.Time{}.Add(now)).Sub(time.Time{})
+	m.setState(s)
+}
+
+// noteSlow bars a worker whose guard sees that its runs hardly advance.
+func (m *Machine) noteSlow(now time.Duration, s *site) {
+	if s.worker.Slow {
+		m.bar(now, s)
 	}
 }
 
--- a/internal/batchnode/node_test.go
+++ b/internal/batchnode/node_test.go
@@ -130,15 +130,15 @@
 	takes   time.Duration
 	mu      sync.Mutex
 	active  map[runs.Key]*time.Timer
+	began   map[runs.Key]time.Time
 	ended   []runs.Ended
 	number  int64
-	percent int64
 	changed chan struct{}
 	starts  int
 }
 
 func newWorker(f *fleet, takes time.Duration) *worker {
-	return &worker{f: f, takes: takes, active: make(map[runs.Key]*time.Timer), changed: make(chan struct{}, 1)}
+	return &worker{f: f, takes: takes, active: make(map[runs.Key]*time.Timer), began: make(map[runs.Key]time.Time), changed: make(chan struct{}, 1)}
 }
 
 func (w *worker) clockMs() int64 { return w.f.clock().Milliseconds() }
@@ -151,6 +151,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
+	w.began[s.Key] = time.Now()
 	w.active[s.Key] = time.AfterFunc(w.takes, func() { w.finish(s.Key, runs.EndDone) })
 	return runs.StartAnswer{ClockMs: w.clockMs()}
 }
@@ -196,9 +197,8 @@
 			a.Ended = append(a.Ended, e)
 		}
 	}
-	w.percent++ // of everything that runs: nothing stands still
 	for k := range w.active {
-		a.Active = append(a.Active, runs.Active{Key: k, Percent: w.percent})
+		a.Active = append(a.Active, runs.Active{Key: k, Percent: int64(100 * time.Since(w.began[k]) / w.takes)})
 	}
 	return a
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -40,13 +40,15 @@
 	Probation
 	// StallWatch stops runs that stand still.
 	StallWatch
+	// PaceWatch finds a slow worker by how its runs advance, and moves them.
+	PaceWatch
 	mechanismCount
 )
 
 var names = [mechanismCount]string{
 	WholeStarts: "whole-starts", BoundedWait: "bounded-wait", Offers: "offers", UrgentOffers: "urgent-offers",
 	NearTold: "near-told", OwnDomain: "own-domain", LearnedTimes: "learned-times", QuickShare: "quick-share",
-	Quarantine: "quarantine", Probation: "probation", StallWatch: "stall-watch",
+	Quarantine: "quarantine", Probation: "probation", StallWatch: "stall-watch", PaceWatch: "pace-watch",
 }
 
 // String gives the name that Parse reads.
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeontray/internal/errkind"
+	"wigeontray/internal/policy"
 	"wigeontray/internal/wire"
 )
 
@@ -162,6 +163,7 @@
 		listed[a.Key] = true
 		m.watch(now, a)
 	}
+	m.watchPace(now)
 	m.stopStrays(now, active)
 	sent := m.life.holdSent
 	for _, r := range m.inOrder() {
@@ -198,7 +200,7 @@
 		return
 	}
 	limit := min(max(r.expect, stallLeast), stallMost)
-	if now-r.advanced > limit {
+	if now-r.advanced > limit && !m.off.Has(policy.StallWatch) {
 		m.stop(now, r, wire.RunEnd{Kind: errkind.Stalled, Ran: errkind.RanYes})
 	}
 }
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -33,6 +33,7 @@
 	answered bool          // its start was answered
 	present  time.Duration // when its start was answered
 	expect   time.Duration // how long it should run; 0 if that is not known
+	moved    bool          // it may not be given back as slow
 	percent  int64         // of its work, when it was last seen to advance
 	advanced time.Duration // and when that was
 	why      wire.RunEnd   // what the entry is told when it has been stopped
@@ -65,6 +66,7 @@
 	life    life
 	next    *Report // another life that has reported and is to be verified
 	leaving bool    // the guard stops
+	pacing  pacing
 
 	ends    map[identity.Incarnation][]wire.RunEnd // to be sent
 	turns   uint64                                 // offers made so far
@@ -130,6 +132,10 @@
 	if p := m.entries[r.entry]; p != nil {
 		p.runs--
 	}
+	if e.Kind == errkind.None {
+		m.ranPace(now, r)
+	}
+	m.forgetPace(r.key.Job)
 	if e.Ran == errkind.RanYes {
 		e.RunMs = (now - r.ordered).Milliseconds()
 	}
--- a/internal/runs/offer.go
+++ b/internal/runs/offer.go
@@ -46,6 +46,9 @@
 // makeOffers offers free room to entries that wait, the most urgent first and
 // those of one urgency in turn, and gives those that were made an offer.
 func (m *Machine) makeOffers(now time.Duration) map[*permit]bool {
+	if m.off.Has(policy.Offers) {
+		return nil
+	}
 	var made map[*permit]bool
 	for {
 		left := m.freeFor(nil)
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -81,7 +81,7 @@
 		return
 	}
 	left := milliseconds(t.LeftMs)
-	r := &run{key: k, entry: from, need: task.Need, text: t.Text, deadline: now + left, ordered: now, expect: milliseconds(task.ExpectMs)}
+	r := &run{key: k, entry: from, need: task.Need, text: t.Text, deadline: now + left, ordered: now, expect: milliseconds(task.ExpectMs), moved: task.Moved}
 	m.add(r)
 	m.orderStart(now, r)
 }
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -40,6 +40,7 @@
 	Capacity sched.Room `cbor:"6,keyasint"`
 	Usable   bool       `cbor:"7,keyasint,omitempty"` // takes new tasks
 	Leaving  bool       `cbor:"8,keyasint,omitempty"` // announced its stop, or its guard did
+	Slow     bool       `cbor:"9,keyasint,omitempty"` // its runs advance much slower than expected
 }
 
 // RunLoad is a guard's state at one moment, as one entry is told it.
@@ -82,6 +83,8 @@
 	Need  sched.Room `cbor:"4,keyasint"`
 	// ExpectMs is how long it is expected to run; 0 if that is not known.
 	ExpectMs int64 `cbor:"5,keyasint,omitempty"`
+	// Moved tells that an earlier run was given back as too slow; this one stays.
+	Moved bool `cbor:"6,keyasint,omitempty"`
 }
 
 // RunsEnded tells the entry what became of its tasks.
