runs, batch: a frozen entry holds little room; urgency is known by service

Cause, found on reading the change: an offer that grows was held anew each time, and an entry that did not answer was offered room again after 5 ms. An offer now ends when its first part does, and each unanswered one in a row doubles the pause, up to 320 ms, until the entry is heard from. The urgency of other services held jobs back as well; it is now kept by service.

--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -48,11 +48,11 @@
 	learned map[string]*sched.Ratio // by queue
 	past    *past
 	seq     uint64
-	urgent  urgency
-	anyLost bool          // a guard with flights was lost
-	told    wire.RunWant  // what guards were told of tasks that wait
-	toldAt  time.Duration // and when
-	toldAll bool          // all of them, and not those of the own failure domain alone
+	urgent  map[string]urgency // by service
+	anyLost bool               // a guard with flights was lost
+	told    wire.RunWant       // what guards were told of tasks that wait
+	toldAt  time.Duration      // and when
+	toldAll bool               // all of them, and not those of the own failure domain alone
 
 	actions []Action
 }
@@ -69,6 +69,7 @@
 		jobs:    make(map[string]*job),
 		flights: make(map[runs.Key]*flight),
 		learned: make(map[string]*sched.Ratio),
+		urgent:  make(map[string]urgency),
 		past:    newPast(remembered),
 	}
 }
@@ -142,7 +143,7 @@
 // comes as a Finish action. A job that has been admitted and is not answered must
 // not be submitted again.
 func (m *Machine) Submit(now time.Duration, spec *Job) *errkind.Error {
-	m.urgent.note(now, spec.Queue.Priority)
+	m.noteUrgency(now, spec.Queue)
 	chain := m.chain(spec)
 	wait := m.wait(spec)
 	if err := m.admit(now, spec, chain, wait); err != nil {
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -40,9 +40,11 @@
 	at       time.Duration // when the last one came
 }
 
-func (u *urgency) note(now time.Duration, priority int) {
-	if u.at == 0 || priority <= u.priority || now-u.at > urgencyMemory {
-		u.priority, u.at = priority, now
+// noteUrgency learns from a job how urgent those of its service are.
+func (m *Machine) noteUrgency(now time.Duration, q *Queue) {
+	u, known := m.urgent[q.Service]
+	if !known || q.Priority <= u.priority || now-u.at > urgencyMemory {
+		m.urgent[q.Service] = urgency{priority: q.Priority, at: now}
 	}
 }
 
@@ -60,10 +62,11 @@
 // 63% with it, alone; 26% and 38% of the work done served nobody in time, and 12% and 22%
 // with it.
 func (m *Machine) mayBegin(j *job) bool {
-	if j.sent || j.spec.Queue.Priority <= m.urgent.priority || m.opt.Off.Has(policy.WholeStarts) {
+	q := j.spec.Queue
+	if j.sent || q.Priority <= m.urgent[q.Service].priority || m.opt.Off.Has(policy.WholeStarts) {
 		return true
 	}
-	capacity, _ := m.room(j.spec.Queue.Service)
+	capacity, _ := m.room(q.Service)
 	for i := range j.steps {
 		s := &j.steps[i]
 		wanted := len(s.waiting)
@@ -71,7 +74,7 @@
 			wanted = min(wanted, max(1, int(wholePart*float64(capacity))/int(s.spec.Need.CPU)))
 		}
 		perSite := cmp.Or(s.spec.PerWorker, wanted)
-		ask := sched.Ask{Service: j.spec.Queue.Service, Need: s.spec.Need, Label: s.spec.Label}
+		ask := sched.Ask{Service: q.Service, Need: s.spec.Need, Label: s.spec.Label}
 		if sched.Places(m.view, &ask, perSite, wanted) < wanted {
 			return false
 		}
--- a/internal/runs/offer.go
+++ b/internal/runs/offer.go
@@ -16,9 +16,14 @@
 // of 1.6 of the room, 51% of the most urgent requests were served in time with offers in
 // turn, and 57% so.
 
-// offerPause is how long an entry that did not use an offer is passed over: it may be
-// frozen. One that has found room elsewhere says so at once.
-const offerPause = 5 * time.Millisecond
+// An entry that did not use an offer is passed over for offerPause, and each further time
+// in a row for twice as long, up to mostPause, until it is heard from. One that has found
+// room elsewhere says so at once; one that is frozen says nothing, and with a short pause
+// alone it would hold most of what becomes free until it wakes.
+const (
+	offerPause = 5 * time.Millisecond
+	mostPause  = 320 * time.Millisecond
+)
 
 // offerTime is how long room is held for an entry that was offered it: two round
 // trips between failure domains, and a pause of its processor.
@@ -57,9 +62,8 @@
 			return made
 		}
 		left.CPU = min(left.CPU, p.want.CPU-p.offer.room.CPU)
-		left = left.Plus(p.offer.room)
 		m.turns++
-		p.offer, p.turn = offer{room: left, until: now + offerTime}, m.turns
+		p.offer, p.turn = p.offer.grown(now, left), m.turns
 		if made == nil {
 			made = make(map[*permit]bool)
 		}
@@ -67,6 +71,15 @@
 	}
 }
 
+// grown is the offer with more room. It ends when the first part of it does.
+func (o offer) grown(now time.Duration, more sched.Room) offer {
+	if o.until == 0 {
+		return offer{room: more, until: now + offerTime}
+	}
+	o.room = o.room.Plus(more)
+	return o
+}
+
 // nextWaiting is the entry that comes next and could use the room, or nil.
 func (m *Machine) nextWaiting(now time.Duration, left sched.Room) *permit {
 	var best *permit
@@ -106,11 +119,15 @@
 	return p.turn < o.turn
 }
 
+// mostUnused bounds the count of offers that were not used: mostPause is reached by then.
+const mostUnused = 6
+
 // endOffers takes back what was not used in time.
 func (m *Machine) endOffers(now time.Duration) {
 	for _, p := range m.entries {
 		if p.offer.until > 0 && now >= p.offer.until {
-			p.offer = offer{pause: now + offerPause}
+			p.offer = offer{pause: now + min(mostPause, offerPause<<p.unused)}
+			p.unused = min(p.unused+1, mostUnused)
 		}
 		if p.offer.pause > 0 && now >= p.offer.pause {
 			p.offer.pause = 0
--- a/internal/runs/offer_test.go
+++ b/internal/runs/offer_test.go
@@ -89,3 +89,24 @@
 	r.want(otherEntry, wire.RunWant{CPU: 3000, LeastCPU: 3000, UrgentCPU: 3000})
 	r.Check(r.told()[testEntry], qt.Equals, int64(2000))
 }
+
+// An entry is frozen while an urgent task waits there. It never answers an offer; made
+// again and again, these would keep a worker idle until the entry wakes, while callers of
+// the other entry are refused.
+func TestFrozenEntryHoldsLittleRoom(t *testing.T) {
+	r := fullRig(t)
+	r.want(testEntry, wire.RunWant{CPU: 8000, LeastCPU: 2000, UrgentCPU: 2000})
+	r.want(otherEntry, wire.RunWant{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
+	r.end(1, 0)
+	held, ticks := 0, 0
+	for r.now < time.Minute+time.Second {
+		r.pass(time.Millisecond)
+		r.want(otherEntry, wire.RunWant{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
+		r.actions()
+		if r.m.entries[testEntry].offer.until > 0 {
+			held++
+		}
+		ticks++
+	}
+	r.Check(held < ticks/4, qt.IsTrue, qt.Commentf("held for %d of %d ms", held, ticks))
+}
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -15,7 +15,7 @@
 		p = new(permit)
 		m.entries[name] = p
 	}
-	p.linked, p.want, p.offer, p.seen = true, wire.RunWant{}, offer{}, 0
+	p.linked, p.want, p.offer, p.seen, p.unused = true, wire.RunWant{}, offer{}, 0, 0
 	p.newest = now
 }
 
@@ -37,7 +37,7 @@
 	if p == nil || !p.linked {
 		return
 	}
-	p.seen, p.want, p.offer = t.Seq, t.Want, offer{}
+	p.seen, p.want, p.offer, p.unused = t.Seq, t.Want, offer{}, 0
 	kind := m.refusal(now, p, t)
 	for i := range t.Tasks {
 		m.begin(now, from, t, &t.Tasks[i], kind)
@@ -118,7 +118,7 @@
 func (m *Machine) Beat(_ time.Duration, from identity.Incarnation, b *wire.EntryBeat) {
 	if p := m.entries[from]; p != nil {
 		p.hear(b.ClockMs)
-		p.want = b.Want
+		p.want, p.unused = b.Want, 0
 		if p.offer.room.CPU < max(1, b.Want.LeastCPU) || b.Want.CPU == 0 {
 			p.offer = offer{} // it has no use for it
 		}
