--- a/internal/batch/place_test.go
+++ b/internal/batch/place_test.go
@@ -39,7 +39,7 @@
 	m.Submit(0, other) // it has no worker
 	late := *testQueue
 	late.Priority, late.Stretch = 2, 100 // it may wait
-	job := testJob("job", 11, 4000) // ten of its tasks find room
+	job := testJob("job", 11, 4000)      // ten of its tasks find room
 	job.Queue = &late
 	qt.Assert(t, m.Submit(0, job) == nil, qt.IsTrue)
 	qt.Check(t, sentTasks(m.Actions(0)), qt.Equals, 10)
--- a/internal/batch/tick.go
+++ b/internal/batch/tick.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"wigeontray/internal/errkind"
-	"wigeontray/internal/policy"
 )
 
 // Tick does what is due: deadlines, jobs that wait in vain, tasks of lost guards,
@@ -94,17 +93,6 @@
 	}
 }
 
-// comeBack ends a quarantine, with one task at first; one of a worker that is still slow
-// begins anew.
-func (m *Machine) comeBack(now time.Duration, s *site) {
-	s.sick = false
-	if !m.opt.Off.Has(policy.Probation) {
-		m.view[s.place].Limit = 1
-	}
-	m.setState(s)
-	m.noteSlow(now, s)
-}
-
 // busySites gives the sites that owe an end. Only these are expected to speak: a
 // guard that has nothing to do is rightly silent.
 func (m *Machine) busySites() map[*site]bool {
