--- a/internal/sched/room_test.go
+++ b/internal/sched/room_test.go
@@ -83,3 +83,17 @@
 	s.Own = 0
 	qt.Assert(t, BestSite([]Site{s}, &Ask{Service: "s"}), qt.Equals, 0)
 }
+
+func TestPlacesCountsTasksThatFitAtOnce(t *testing.T) {
+	sites := []Site{site("d", "r", 8000), site("d", "r", 5000), site("d", "r", 5000)}
+	for i := range sites {
+		sites[i].Capacity.MemoryMB, sites[i].Free.MemoryMB = 100, 100
+	}
+	sites[2].State = Quarantined
+	ask := Ask{Service: sites[0].Service, Need: Room{CPU: 2000, MemoryMB: 30}}
+	qt.Check(t, Places(sites, &ask, 9, 9), qt.Equals, 5) // three by memory, two by processor
+	qt.Check(t, Places(sites, &ask, 1, 9), qt.Equals, 2)
+	qt.Check(t, Places(sites, &ask, 9, 4), qt.Equals, 4)
+	sites[0].Limit, sites[0].Own = 2, 1
+	qt.Check(t, Places(sites, &ask, 9, 9), qt.Equals, 3)
+}
