settings, runs, platform: a process starts with any time after which callers send again

Cause: resend_ms was accepted from 600 to 60,000 only, so that on a deployment with another value no process would start and nobody be served. The test is red with the old bounds.

--- a/internal/runs/timing.go
+++ b/internal/runs/timing.go
@@ -21,6 +21,11 @@
 // do not say so.
 const DefaultResend = 1300 * time.Millisecond
 
+// LeastResend is the shortest such time for which the promise of Loss can be kept: a lease
+// has to outlast two renewals. For callers that are still more hasty the times are those
+// for LeastResend, and a job of a lost process may run beside its second run for the rest.
+const LeastResend = 600 * time.Millisecond
+
 // resendMargin is by how much Loss lies below the callers' time.
 const resendMargin = 50 * time.Millisecond
 
@@ -29,7 +34,7 @@
 // more hasty ones all times shrink alike, as a job that comes again while its first
 // run lasts would run twice at once.
 func TimingFor(resend time.Duration) Timing {
-	free := min(resend, DefaultResend) - resendMargin - clockSlack - StopTime
+	free := min(max(resend, LeastResend), DefaultResend) - resendMargin - clockSlack - StopTime
 	permit := free * 6 / 11
 	return Timing{Lease: free - permit, Permit: permit, Beat: permit / 3}
 }
--- a/internal/runs/timing_test.go
+++ b/internal/runs/timing_test.go
@@ -20,5 +20,6 @@
 		c.Check(timing.Stall() < timing.Permit, qt.IsTrue)
 		c.Check(timing.Lease > 2*renewEvery+OrderTime, qt.IsTrue, qt.Commentf("%v: %+v", resend, timing))
 	}
+	c.Check(TimingFor(time.Millisecond), qt.Equals, TimingFor(LeastResend))
 	c.Check(TimingFor(DefaultResend), qt.Equals, Timing{Lease: 500 * time.Millisecond, Permit: 600 * time.Millisecond, Beat: 200 * time.Millisecond})
 }
--- a/internal/settings/batch.go
+++ b/internal/settings/batch.go
@@ -42,7 +42,7 @@
 }
 
 // resendDoc is about the time that leases and heartbeats have to fit into.
-const resendDoc = "Time after which a caller without an answer sends its job again. What ran for a lost process has ended before it."
+const resendDoc = "Time after which a caller without an answer sends its job again. What ran for a lost process has ended before it, unless it is below 600 ms."
 
 // stopDoc is about the bound of a planned stop.
 const stopDoc = "Time from the request to stop until the process is killed."
@@ -79,7 +79,7 @@
 	stop := seconds("limits", "stop_s", stopDoc, func(t *T) *time.Duration { d, _, _ := at(t); return d })
 	return []field[T]{
 		stop.need(),
-		millis("limits", "resend_ms", 1300, 600, 60_000, resendDoc, func(t *T) *time.Duration { _, d, _ := at(t); return d }),
+		millis("limits", "resend_ms", 1300, 1, 3_600_000, resendDoc, func(t *T) *time.Duration { _, d, _ := at(t); return d }),
 		integer("limits", "memory_mb", "megabytes", 128, 32, 1<<20, "Memory of the process. Above half of it garbage is collected more often.",
 			func(t *T) *int64 { _, _, n := at(t); return n }),
 	}
