--- a/internal/batchnode/upkeep.go
+++ b/internal/batchnode/upkeep.go
@@ -150,6 +150,10 @@
 	return nil
 }
 
+// mostPassed bounds the keys that are remembered as passed over: another writer may make
+// new ones without end. Beyond it, they are told again.
+const mostPassed = 256
+
 // Listing reads where entries are registered.
 type Listing struct {
 	Store   store.Store
@@ -198,7 +202,7 @@
 	if l.passed[key] {
 		return
 	}
-	if l.passed == nil {
+	if l.passed == nil || len(l.passed) >= mostPassed {
 		l.passed = make(map[string]bool)
 	}
 	l.passed[key] = true
