--- /dev/null
+++ b/internal/batchnode/foreign_test.go
@@ -0,0 +1,40 @@
+package batchnode
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+)
+
+// Whatever lies under a guard's key, it either names a worker that can be used or is
+// passed over.
+func FuzzStoredReport(f *testing.F) {
+	for _, seed := range []string{``, `{}`, `[]`, `{"ID":7}`, `{"ID":"i-1","ClockMs":1,"Service":"s","Domain":"z","Capacity":{"CPU":1,"MemoryMB":1}}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		rep, err := decodeStored(value)
+		switch {
+		case err == nil && rep.Check() != nil:
+			t.Errorf("accepted %+v", rep)
+		case err != nil && !errors.Is(err, ErrForeign):
+			t.Errorf("%v", err)
+		}
+	})
+}
+
+// Whatever lies under the prefix of the entries, what is dialed is an IP address with a
+// port.
+func FuzzListedAddress(f *testing.F) {
+	for _, seed := range []string{``, `10.0.0.1:8166`, `[::1]:1`, `10.0.0.1:0`, `entry:1`, `0.0.0.0:1`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		if checkAddress(value) != nil {
+			return
+		}
+		if a, err := netip.ParseAddrPort(string(value)); err != nil || a.Port() == 0 {
+			t.Errorf("accepted %q", value)
+		}
+	})
+}
--- a/internal/batchnode/memory.go
+++ b/internal/batchnode/memory.go
@@ -117,18 +117,23 @@
 			continue
 		}
 		s.revision = kv.ModRevision
-		rep := new(runs.Report)
-		if err := json.Unmarshal(kv.Value, rep); err != nil {
-			return nil, fmt.Errorf("%w: last report: %w", ErrForeign, err)
-		}
-		if err := rep.Check(); err != nil {
-			return nil, fmt.Errorf("%w: last report: %w", ErrForeign, err)
-		}
-		return rep, nil
+		return decodeStored(kv.Value)
 	}
 	return nil, nil
 }
 
+// decodeStored reads a stored report. Whatever names no worker to use is ErrForeign.
+func decodeStored(value []byte) (*runs.Report, error) {
+	rep := new(runs.Report)
+	if err := json.Unmarshal(value, rep); err != nil {
+		return nil, fmt.Errorf("%w: last report: %w", ErrForeign, err)
+	}
+	if err := rep.Check(); err != nil {
+		return nil, fmt.Errorf("%w: last report: %w", ErrForeign, err)
+	}
+	return rep, nil
+}
+
 // Save implements Memory. It writes over what stands there: only this VM's
 // guard writes the key, and a conflict means that an earlier answer was lost.
 func (s *StoredReport) Save(ctx context.Context, rep *runs.Report) error {
