confsync: an amendment is confirmed once the entry that took it obeys it

Records are read from the configuration in force; the answer of the store to the write (here: the look into its history) may overtake the watch that brings the change. No fault of the test: an operator would see the same.

Ruled out: reading records from the store on GET (a call a read, and none while the store is away); waiting in the test (the reader would go on seeing the old value).

Change: the answer waits until this entry obeys the revision, for a second at most, counted where it was not seen by then. TestAmendmentIsReadAtTheEntryThatConfirmedIt fails without it and passes with it (go test ./internal/confsync).

--- a/internal/confsync/amend.go
+++ b/internal/confsync/amend.go
@@ -21,6 +21,10 @@
 	// historyWait is how long the history of a key that does not exist is
 	// watched; a store delivers what it holds in milliseconds.
 	historyWait = 500 * time.Millisecond
+	// showWithin bounds how long the answer to an amendment waits until this entry obeys
+	// it. A watch delivers in milliseconds; one that is silent is found out after
+	// DefaultVerifyEvery, and an operator's command should not wait for that.
+	showWithin = time.Second
 )
 
 // ConflictError tells an operator what stands in the way of an amendment.
@@ -52,7 +56,8 @@
 // Put writes a record if its revision still is expect (0: it must not exist),
 // and gives its new revision.
 //
-// Its outcome is told truthfully. A nil error means that the write took effect.
+// Its outcome is told truthfully. A nil error means that the write took effect, and that
+// this Sync obeys it unless the store's watch has been silent for showWithin.
 // RecordInvalid means that nothing was sent. RecordConflict, which wraps a
 // ConflictError, means that somebody else's change came first and this one had
 // no effect. StoreUnavailable with RanUnknown means that the outcome could not
@@ -142,6 +147,7 @@
 		revision, err := s.send(ctx, c)
 		if err == nil {
 			s.count("amend.done")
+			s.awaitInForce(ctx, revision)
 			return revision, nil
 		}
 		if errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrNotSent) && !sent {
@@ -157,6 +163,7 @@
 		switch outcome {
 		case tookEffect:
 			s.count("amend.recovered")
+			s.awaitInForce(ctx, revision)
 			return revision, nil
 		case otherWon:
 			return 0, s.lost(&store.ConflictError{Current: store.KV{Key: c.key(), ModRevision: current}})
@@ -168,6 +175,28 @@
 	}
 }
 
+// awaitInForce waits until this Sync obeys a revision of the store, for showWithin at most.
+// Records are read from the configuration in force, and the store's answer may overtake
+// its watch: an operator who was told that his amendment is revision 6 would read the
+// record at the same entry and find revision 3 and the old value.
+func (s *Sync) awaitInForce(ctx context.Context, revision int64) {
+	if !s.following.Load() {
+		return // nothing here will ever bring it
+	}
+	ctx, cancel := context.WithTimeout(ctx, showWithin)
+	defer cancel()
+	changed, unsubscribe := s.Subscribe()
+	defer unsubscribe()
+	for s.Revision() < revision {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			s.count("amend.unseen")
+			return
+		}
+	}
+}
+
 func (s *Sync) send(ctx context.Context, c *change) (int64, error) {
 	if c.value == nil {
 		return s.o.Store.Delete(ctx, c.key(), c.expect)
--- a/internal/confsync/amend_test.go
+++ b/internal/confsync/amend_test.go
@@ -395,3 +395,33 @@
 		f.Assert(err, qt.IsNil)
 	})
 }
+
+// The store answers an operator's amendment before its watch tells the entry of it. He
+// reads the record at the same entry and finds the old value under the old revision, as
+// if he had not been told that his amendment took effect.
+func TestAmendmentIsReadAtTheEntryThatConfirmedIt(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	run(t, func(f *fixture) {
+		first := f.write("lima", 0)
+		f.server.StallWatches(true)
+		time.AfterFunc(delay, func() { f.server.StallWatches(false) })
+		second, err := f.sync.Put(f.t.Context(), record.KindMember, "ayni", member("cusco"), first)
+		f.Assert(err, qt.IsNil)
+		f.Check(f.sync.Revision() >= second, qt.IsTrue)
+		f.Check(region(f.sync), qt.Equals, "cusco")
+		f.Check(f.counter("amend.unseen"), qt.Equals, int64(0))
+	})
+}
+
+// The watch of the entry is silent. The operator is told within a second or so that his
+// amendment took effect, and not only when the silent watch has been found out.
+func TestAmendmentIsConfirmedThoughTheWatchIsSilent(t *testing.T) {
+	run(t, func(f *fixture) {
+		first := f.write("lima", 0)
+		f.server.StallWatches(true)
+		began := time.Now()
+		_, err := f.sync.Put(f.t.Context(), record.KindMember, "ayni", member("cusco"), first)
+		f.Assert(err, qt.IsNil)
+		f.Check(time.Since(began) <= showWithin, qt.IsTrue)
+	})
+}
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -78,6 +78,8 @@
 	ready   chan struct{} // closed once a snapshot was obtained
 	store   atomic.Uint32 // a storeState
 	shared  atomic.Pointer[shared]
+	// following tells that Run keeps the snapshot fresh.
+	following atomic.Bool
 
 	mu          sync.Mutex // guards changes of current, and what follows
 	subscribers map[int]chan struct{}
@@ -202,6 +204,8 @@
 
 // Run keeps the snapshot fresh until ctx ends.
 func (s *Sync) Run(ctx context.Context) error {
+	s.following.Store(true)
+	defer s.following.Store(false)
 	backoff := s.o.BackoffMin
 	for ctx.Err() == nil {
 		start := time.Now()
