--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -49,7 +49,7 @@
 }
 
 func newServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config, l Limits) *Server {
-	h = timeBodies(h, l.BodyTimeout)
+	h = notePeer(timeBodies(h, l.BodyTimeout))
 	if l.Connections > 0 {
 		limited := &limitListener{Listener: ln, free: make(chan struct{}, l.Connections), closed: make(chan struct{})}
 		ln, h = limited, limited.closeWhenCrowded(h)
@@ -64,7 +64,7 @@
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.HeaderBytes,
-		ConnContext:       keepConn,
+		ConnContext:       keepPeer,
 	}}
 }
 
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -180,6 +180,7 @@
 		resp := s.answer(conns[0])
 		s.Assert(resp.Close, qt.IsTrue)
 		ended(conns[0])
+		synctest.Wait() // the caller sees the end a moment before the server counts it
 		conns[1].send(request)
 		s.Assert(s.answer(conns[1]).Close, qt.IsFalse) // below the mark: kept
 		s.mustDial()
--- /dev/null
+++ b/internal/httpserve/leave.go
@@ -0,0 +1,43 @@
+package httpserve
+
+import (
+	"net/http"
+	"time"
+)
+
+// resendShare is the part of the time until callers send a request again after which it may
+// stand beside its successor at another server. The rest is for clocks that differ.
+const resendShare = 0.75
+
+// lookAgain is how long a request that may have been held up waits before it is begun. The
+// end of its connection follows it by a round trip, if the caller's TCP sends the two
+// apart: 2 ms between a caller and its failure domain, 6 ms between distant ones. It costs
+// the first request after a pause of a second 10 ms, and no other request.
+const lookAgain = 10 * time.Millisecond
+
+// LeaveCheck finds the requests for whose answer nobody waits any more. A cut may hold up
+// a request for longer than its caller waits; the caller then sends it to another server.
+// When the cut heals, the end of the connection may arrive some milliseconds after the
+// request: begun in between, its work would be done twice at once, and two escorts booked.
+type LeaveCheck struct {
+	heldUpAfter time.Duration // silence of a connection after which a request may be such
+	pause       func(time.Duration)
+}
+
+// NewLeaveCheck is for callers that wait for resend before they send a request again.
+func NewLeaveCheck(resend time.Duration) *LeaveCheck {
+	return &LeaveCheck{heldUpAfter: time.Duration(resendShare * float64(resend)), pause: time.Sleep}
+}
+
+// Left tells whether the caller of a request has ended its connection. It waits for
+// lookAgain if the request may have been held up.
+func (c *LeaveCheck) Left(r *http.Request) bool {
+	if PeerLeft(r) {
+		return true
+	}
+	if peerQuiet(r) < c.heldUpAfter {
+		return false
+	}
+	c.pause(lookAgain)
+	return PeerLeft(r)
+}
--- a/internal/httpserve/peer.go
+++ b/internal/httpserve/peer.go
@@ -5,15 +5,53 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
-// connKey is the key of a request's connection in its context.
-type connKey struct{}
+// peerKey is the key of a request's peer in its context.
+type peerKey struct{}
 
-// keepConn lets handlers find their request's connection.
-func keepConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+// peer is the other end of a connection.
+type peer struct {
+	conn net.Conn
+	// answered is when the last request of the connection was answered, or when the
+	// connection was accepted, in nanoseconds since started.
+	answered atomic.Int64
+}
+
+// started is what times of peers are counted from.
+var started = time.Now()
+
+// keepPeer lets handlers find their request's connection.
+func keepPeer(ctx context.Context, c net.Conn) context.Context {
+	p := &peer{conn: c}
+	p.noteAnswer()
+	return context.WithValue(ctx, peerKey{}, p)
+}
+
+func (p *peer) noteAnswer() { p.answered.Store(int64(time.Since(started))) }
+
+// notePeer keeps the times that peerQuiet reads.
+func notePeer(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		if p, ok := r.Context().Value(peerKey{}).(*peer); ok {
+			p.noteAnswer()
+		}
+	})
+}
+
+// peerQuiet tells for how long nothing was answered on a request's connection: since the
+// answer before, or since the connection was accepted. A request that a cut held up was
+// sent within that time.
+func peerQuiet(r *http.Request) time.Duration {
+	p, ok := r.Context().Value(peerKey{}).(*peer)
+	if !ok {
+		return 0
+	}
+	return time.Since(started) - time.Duration(p.answered.Load())
 }
 
 // PeerLeft tells whether the caller of a request has ended its connection already. The
@@ -25,11 +63,11 @@
 // The end is not seen behind bytes that are still unread. A connection of another kind
 // than a socket counts as open.
 func PeerLeft(r *http.Request) bool {
-	c, ok := r.Context().Value(connKey{}).(net.Conn)
+	p, ok := r.Context().Value(peerKey{}).(*peer)
 	if !ok {
 		return false
 	}
-	s, ok := socketOf(c).(syscall.Conn)
+	s, ok := socketOf(p.conn).(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/internal/httpserve/peer_test.go
+++ b/internal/httpserve/peer_test.go
@@ -1,11 +1,13 @@
 package httpserve
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -52,3 +54,31 @@
 		c.Close()
 	}
 }
+
+// A connection has been quiet since its last answer, not since it was opened: a caller
+// that keeps it busy would else be taken for one whose request was held up.
+func TestPeerIsQuietSinceItsLastAnswer(t *testing.T) {
+	var quiet []time.Duration
+	var calls []time.Time
+	s, err := Listen("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		quiet = append(quiet, peerQuiet(r))
+		calls = append(calls, time.Now())
+	}), nil, DefaultLimits())
+	qt.Assert(t, err, qt.IsNil)
+	defer s.Close()
+	go s.Serve()
+	c, err := net.Dial("tcp", s.Addr())
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	answers := bufio.NewReader(c)
+	for range 2 {
+		fmt.Fprint(c, peerRequest)
+		res, err := http.ReadResponse(answers, nil)
+		qt.Assert(t, err, qt.IsNil)
+		res.Body.Close()
+	}
+	qt.Assert(t, quiet, qt.HasLen, 2)
+	qt.Check(t, quiet[0] > 0, qt.IsTrue)
+	between := calls[1].Sub(calls[0])
+	qt.Check(t, quiet[1] > 0 && quiet[1] <= between, qt.IsTrue, qt.Commentf("%v of %v", quiet[1], between))
+}
