--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -115,7 +115,7 @@
 		usable, suited, there := m.count(&ask)
 		switch {
 		case usable > 0:
-		case there == 0 && now-m.began < startTime:
+		case there == 0 && now-m.began < startTime && !m.opt.Off.Has(policy.StartGrace):
 		case suited > 0 || there == 0 || now-m.began < settleTime:
 			return refusal(errkind.NoWorkers, m.spread(afterNoWorkers), "no worker for step %d is ready", i)
 		default:
@@ -196,5 +196,8 @@
 // spread draws a time between d and twice d, so that callers who were refused
 // together do not come back together.
 func (m *Machine) spread(d time.Duration) time.Duration {
+	if m.opt.Off.Has(policy.RetrySpread) {
+		return d
+	}
 	return d + time.Duration(m.rng.Int64N(int64(d)+1))
 }
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -8,6 +8,7 @@
 
 	"wigeontray/internal/identity"
 	"wigeontray/internal/pause"
+	"wigeontray/internal/policy"
 	"wigeontray/internal/runs"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
@@ -238,7 +239,7 @@
 // balance brings the older of guard and entry to the configuration of the newer.
 func (g *Guard) balance(l *guardLink) {
 	switch {
-	case g.version > l.version:
+	case g.version > l.version && !policy.Linked().Has(policy.ConfigRelay):
 		l.version = g.version
 		_ = l.link.Send(&wire.Frame{Desired: &wire.Desired{Version: g.version, Document: g.document}}) // see carryOut
 	case g.version < l.version:
--- a/internal/batchnode/memory.go
+++ b/internal/batchnode/memory.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"wigeontray/internal/policy"
 	"wigeontray/internal/runs"
 	"wigeontray/internal/store"
 	"wigeontray/internal/telemetry"
@@ -41,6 +42,9 @@
 }
 
 func (g *Guard) recall(ctx context.Context) {
+	if policy.Linked().Has(policy.StoredReport) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	rep, err := g.opt.Memory.Load(ctx)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -44,6 +44,14 @@
 	StallWatch
 	// PaceWatch finds a slow worker by how its runs advance, and moves them.
 	PaceWatch
+	// RetrySpread tells refused callers different times to come back at.
+	RetrySpread
+	// StoredReport lets a guard begin with the last report of its worker in the store.
+	StoredReport
+	// ConfigRelay passes a configuration from guards to entries that have an older one.
+	ConfigRelay
+	// StartGrace lets jobs wait for the first workers of an entry that has just begun.
+	StartGrace
 	mechanismCount
 )
 
@@ -51,6 +59,7 @@
 	WholeStarts: "whole-starts", BoundedWait: "bounded-wait", Offers: "offers", UrgentOffers: "urgent-offers",
 	NearTold: "near-told", OwnDomain: "own-domain", LearnedTimes: "learned-times", QuickShare: "quick-share",
 	Quarantine: "quarantine", Probation: "probation", StallWatch: "stall-watch", PaceWatch: "pace-watch",
+	RetrySpread: "retry-spread", StoredReport: "stored-report", ConfigRelay: "config-relay", StartGrace: "start-grace",
 }
 
 // String gives the name that Parse reads.
