runs: a worker on which nothing advances gives back what it has at once

Cause: each run was given 150 to 600 ms without progress, the time that a run on a merely slow worker may need for a percent. A hanging worker looked idle all the while and drew work.

Change: if runs of two jobs or more have not advanced for a twelfth of their expected time (50 ms at least), and no other run does, the guard stops them as stalled and announces the worker as slow, so that entries bar it.

--- a/internal/batch/load_test.go
+++ b/internal/batch/load_test.go
@@ -53,6 +53,7 @@
 	length time.Duration
 	off    policy.Set
 	slow   int // workers that turn slow after a quarter of the length, for half of it
+	hang   int // workers whose tasks stand still for that time
 	// unanswered is the part of the orders to workers without an answer, from a quarter
 	// of the length on, for half of it.
 	unanswered float64
@@ -113,10 +114,16 @@
 		n++
 		s.ask(fmt.Sprintf("%016x", n), &mix[which], &r.kinds[which])
 	})
-	for i := range l.slow {
+	for i := range l.slow + l.hang {
 		w := s.workers[i]
-		s.at(start+l.length/4, func() { w.slowBy = loadSlowBy })
-		s.at(start+3*l.length/4, func() { w.slowBy = 0 })
+		s.at(start+l.length/4, func() {
+			if i >= l.slow {
+				w.standStill()
+				return
+			}
+			w.slowBy = loadSlowBy
+		})
+		s.at(start+3*l.length/4, w.goOn)
 	}
 	s.at(start+l.length/4, func() { s.faults.lateOrder = l.unanswered })
 	s.at(start+3*l.length/4, func() { s.faults.lateOrder = 0 })
@@ -290,3 +297,14 @@
 	with, without := missed(), missed(policy.QuickOrders)
 	qt.Check(t, with < 0.6*without, qt.IsTrue, qt.Commentf("%.3f, %.3f without", with, without))
 }
+
+// What runs on two of ten workers stands still, and both answer as ever. Each run was given
+// the time in which a merely slow one would advance, and workers that hang, which have the
+// most room, drew new ones meanwhile.
+func TestLoadWithWorkersThatHangIsServedInTime(t *testing.T) {
+	missed := func(off ...policy.Mechanism) float64 {
+		return 1 - mean(load{ofRoom: 0.5, hang: 2}.results(t, off...), (*loadResult).served)
+	}
+	with, without := missed(), missed(policy.HangWatch)
+	qt.Check(t, with < 0.7*without, qt.IsTrue, qt.Commentf("%.3f, %.3f without", with, without))
+}
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -29,6 +29,7 @@
 	number0  int64
 	waiting  *simHold
 	slowBy   float64 // how many times longer a run takes; 0 for not
+	stands   bool    // what runs does not advance
 }
 
 type simRun struct {
@@ -36,6 +37,16 @@
 	room  sched.Room
 	began time.Duration
 	takes time.Duration
+	stood time.Duration // how long it has stood still
+	since time.Duration // when it began to, if it does
+}
+
+// advanced is for how long the run has worked.
+func (r *simRun) advanced(now time.Duration, stands bool) time.Duration {
+	if stands {
+		now = r.since
+	}
+	return now - r.began - r.stood
 }
 
 type simHold struct {
@@ -167,13 +178,48 @@
 	if s.rng.Float64() < s.faults.failRun {
 		how = runs.EndFailed
 	}
+	r.since = s.now
+	w.endAfter(r, took, how)
+	return runs.Done
+}
+
+// endAfter ends a run once it has worked for its time.
+func (w *simWorker) endAfter(r *simRun, left time.Duration, how runs.How) {
 	life := w.life
-	s.after(took, func() {
-		if w.up && w.life == life && w.active[k] == r {
-			w.end(r, how)
+	w.s.after(left, func() {
+		if !w.up || w.life != life || w.active[r.key] != r {
+			return
+		}
+		rest := r.takes - r.advanced(w.s.now, w.stands)
+		if w.stands {
+			rest = max(rest, time.Millisecond) // looked at again until it goes on
 		}
+		if rest > 0 {
+			w.endAfter(r, rest, how)
+			return
+		}
+		w.end(r, how)
 	})
-	return runs.Done
+}
+
+// standStill lets nothing that runs here advance.
+func (w *simWorker) standStill() {
+	w.stands = true
+	for _, r := range w.active {
+		r.since = w.s.now
+	}
+}
+
+// goOn ends what made the worker slow or stand still.
+func (w *simWorker) goOn() {
+	w.slowBy = 0
+	if !w.stands {
+		return
+	}
+	w.stands = false
+	for _, r := range w.active {
+		r.stood += w.s.now - r.since
+	}
 }
 
 func (w *simWorker) end(r *simRun, how runs.How) {
@@ -214,7 +260,7 @@
 func (w *simWorker) lists() *runs.HoldAnswer {
 	a := &runs.HoldAnswer{Verdict: runs.Done, ClockMs: w.clock().Milliseconds(), Ended: slices.Clone(w.ended)}
 	for _, r := range w.sorted() {
-		a.Active = append(a.Active, runs.Active{Key: r.key, Percent: int64(100 * (w.s.now - r.began) / r.takes)})
+		a.Active = append(a.Active, runs.Active{Key: r.key, Percent: int64(100 * r.advanced(w.s.now, w.stands) / r.takes)})
 	}
 	return a
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -54,6 +54,8 @@
 	StartGrace
 	// QuickOrders waits for less long for answers of a worker that left one out.
 	QuickOrders
+	// HangWatch gives back at once what a worker has on which nothing advances.
+	HangWatch
 	mechanismCount
 )
 
@@ -62,7 +64,7 @@
 	NearTold: "near-told", OwnDomain: "own-domain", LearnedTimes: "learned-times", QuickShare: "quick-share",
 	Quarantine: "quarantine", Probation: "probation", StallWatch: "stall-watch", PaceWatch: "pace-watch",
 	RetrySpread: "retry-spread", StoredReport: "stored-report", ConfigRelay: "config-relay", StartGrace: "start-grace",
-	QuickOrders: "quick-orders",
+	QuickOrders: "quick-orders", HangWatch: "hang-watch",
 }
 
 // String gives the name that Parse reads.
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -168,6 +168,7 @@
 		m.watch(now, a)
 	}
 	m.watchPace(now)
+	m.watchHang(now)
 	m.stopStrays(now, active)
 	sent := m.life.holdSent
 	for _, r := range m.inOrder() {
