--- a/internal/batch/load_test.go
+++ b/internal/batch/load_test.go
@@ -59,6 +59,19 @@
 	unanswered float64
 }
 
+// fault names what is wrong with the workers of a load, for the name of a figure.
+func (l load) fault() string {
+	switch {
+	case l.slow > 0:
+		return fmt.Sprintf("-slow-%d", l.slow)
+	case l.hang > 0:
+		return fmt.Sprintf("-hang-%d", l.hang)
+	case l.unanswered > 0:
+		return "-unanswered"
+	}
+	return ""
+}
+
 // loadSlowBy is by how much the slow workers of a load are slower.
 const loadSlowBy = 5.6
 
