--- /dev/null
+++ b/internal/batchnode/fleet_test.go
@@ -0,0 +1,217 @@
+package batchnode
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/batch"
+	"wigeontray/internal/runs"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/telemetry"
+	"wigeontray/internal/wire"
+	"wigeontray/internal/wire/wiretest"
+)
+
+// fleet is entries and guards in one bubble of time, with links in memory.
+type fleet struct {
+	*qt.C
+	ctx     context.Context
+	end     context.CancelFunc
+	began   time.Time
+	frozen  time.Duration // added to every clock
+	entries map[string]*Entry
+	guards  []*Guard
+	applied map[string]int64 // version in force by address of the entry
+	mu      sync.Mutex
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{C: qt.New(t), began: time.Now(), entries: make(map[string]*Entry), applied: make(map[string]int64)}
+	f.ctx, f.end = context.WithCancel(context.Background())
+	return f
+}
+
+func (f *fleet) clock() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Hour + time.Since(f.began) + f.frozen
+}
+
+// freeze lets time pass that no process takes part in.
+func (f *fleet) freeze(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.frozen += d
+}
+
+func quiet() *log.Logger { return log.New(io.Discard) }
+
+func (f *fleet) entry(address string) *Entry {
+	e := NewEntry(EntryOptions{
+		Name: "entry", Address: address, Clock: f.clock, Metrics: telemetry.New(), Log: quiet(),
+		Apply: func(version int64, _ []byte) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.applied[address] = version
+			return nil
+		},
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries[address] = e
+	go e.KeepBeat(f.ctx)
+	return e
+}
+
+func (f *fleet) dial(_ context.Context, address string) (wire.Link, error) {
+	f.mu.Lock()
+	e := f.entries[address]
+	f.mu.Unlock()
+	if e == nil {
+		return nil, errors.New("nobody listens")
+	}
+	here, there := wiretest.Pipe()
+	go e.Serve(f.ctx, there)
+	return here, nil
+}
+
+func (f *fleet) guard(w Worker, lookup []string, entries ...string) *Guard {
+	g := NewGuard(GuardOptions{
+		Name: "guard", Entries: entries, Worker: w, Clock: f.clock, Metrics: telemetry.New(), Log: quiet(),
+		Dial: f.dial, Lookup: func(context.Context) ([]string, error) { return lookup, nil },
+	})
+	f.guards = append(f.guards, g)
+	go g.Run(f.ctx)
+	return g
+}
+
+func (f *fleet) complete(out *batch.Outcome) {
+	f.Helper()
+	f.Assert(out.Err == nil, qt.IsTrue, qt.Commentf("%v", out.Err))
+}
+
+// kill ends an entry; nobody listens at its address any more.
+func (f *fleet) kill(address string) {
+	f.mu.Lock()
+	e := f.entries[address]
+	delete(f.entries, address)
+	f.mu.Unlock()
+	e.Close()
+}
+
+// inForce is the version of the configuration at an entry.
+func (f *fleet) inForce(address string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.applied[address]
+}
+
+// stop ends all goroutines of the bubble.
+func (f *fleet) stop() {
+	f.end()
+	for _, e := range f.entries {
+		e.Close()
+	}
+	synctest.Wait()
+}
+
+// worker runs tasks for a fixed time.
+type worker struct {
+	f       *fleet
+	takes   time.Duration
+	mu      sync.Mutex
+	active  map[runs.Key]*time.Timer
+	began   map[runs.Key]time.Time
+	ended   []runs.Ended
+	number  int64
+	changed chan struct{}
+	starts  int
+}
+
+func newWorker(f *fleet, takes time.Duration) *worker {
+	return &worker{f: f, takes: takes, active: make(map[runs.Key]*time.Timer), began: make(map[runs.Key]time.Time), changed: make(chan struct{}, 1)}
+}
+
+func (w *worker) clockMs() int64 { return w.f.clock().Milliseconds() }
+
+func (w *worker) report() *runs.Report {
+	return &runs.Report{ID: "worker-1", Seq: 1, ClockMs: w.clockMs(), Service: "svc", Capacity: sched.Room{CPU: 8000}}
+}
+
+func (w *worker) Start(_ context.Context, s *runs.Start) runs.StartAnswer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starts++
+	w.began[s.Key] = time.Now()
+	w.active[s.Key] = time.AfterFunc(w.takes, func() { w.finish(s.Key, runs.EndDone) })
+	return runs.StartAnswer{ClockMs: w.clockMs()}
+}
+
+func (w *worker) finish(k runs.Key, how runs.How) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.active[k] == nil {
+		return
+	}
+	delete(w.active, k)
+	w.number++
+	w.ended = append(w.ended, runs.Ended{Number: w.number, Key: k, How: how})
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) Stop(_ context.Context, s *runs.Stop) (runs.Verdict, int64) {
+	w.finish(s.Key, runs.EndStopped)
+	return runs.Done, w.clockMs()
+}
+
+func (w *worker) Hold(ctx context.Context, h *runs.Hold) *runs.HoldAnswer {
+	if a := w.lists(h.Ack); len(a.Ended) > 0 || h.Wait == 0 {
+		return a
+	}
+	select {
+	case <-w.changed:
+	case <-time.After(h.Wait):
+	case <-ctx.Done():
+	}
+	return w.lists(h.Ack)
+}
+
+func (w *worker) lists(ack int64) *runs.HoldAnswer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a := &runs.HoldAnswer{ClockMs: w.clockMs()}
+	for _, e := range w.ended {
+		if e.Number > ack {
+			a.Ended = append(a.Ended, e)
+		}
+	}
+	for k := range w.active {
+		a.Active = append(a.Active, runs.Active{Key: k, Percent: int64(100 * time.Since(w.began[k]) / w.takes)})
+	}
+	return a
+}
+
+func (w *worker) running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.active)
+}
+
+var testQueue = &batch.Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 1.6, Slack: 60 * time.Millisecond}
+
+func testJob(id string, tasks int) *batch.Job {
+	return &batch.Job{ID: id, Queue: testQueue, Steps: []batch.Step{{
+		Count: tasks, Need: sched.Room{CPU: 2000}, Estimate: 100 * time.Millisecond,
+	}}}
+}
