batch, batchnode: what waits is told to a dozen guards first; entries tell of new entries only; a thin link shows by more frames

A job that waits was told to the 40 guards of its domain and then to all 240. Each of 55 entries sent the whole list of entries to each guard at each change: 85 to 98 copies, 70 to 80 kB, for each guard at the start.

A job that waits is told to 12 guards of the own domain, drawn at random, then to twice as many; fleets of up to 12 guards as before. Entries tell guards of added addresses; a guard that gives an address up looks into the store. A rate is measured over six frames and 40 ms, and an uneven pace of arrivals is no rate.

--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -52,8 +52,9 @@
 	anyLost bool               // a guard with flights was lost
 	told    wire.RunWant       // what guards were told of tasks that wait
 	toldAt  time.Duration      // and when
-	toldAll bool               // all of them, and not those of the own failure domain alone
-	uplink  uplink
+	// toldGuards is to how many guards that was told, at most.
+	toldGuards int
+	uplink     uplink
 
 	actions []Action
 }
--- a/internal/batch/tell.go
+++ b/internal/batch/tell.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"wigeontray/internal/policy"
@@ -8,11 +9,11 @@
 	"wigeontray/internal/wire"
 )
 
-// tellEvery is how often guards are told anew what waits here while that changes, for
-// each tellGuards of them: each time costs a frame for each guard. Told every 50 ms, and
-// at each first and last task that waited, 72 guards cost an entry up to 14,400 frames a
-// second; with a fifth of a core it served three quarters of its callers, and nine
-// tenths of them with these bounds (a simulated day of heavy load).
+// What waits here for room is told to tellGuards guards first, and after a pause to twice as
+// many as before while it goes on waiting. Each telling costs a frame for each guard that is
+// told, and small entries spend more on these than on their jobs if they tell all guards of
+// a large fleet; room is free again at a dozen workers within milliseconds. The pause is
+// tellEvery for each two times tellGuards that were told.
 const (
 	tellEvery  = 50 * time.Millisecond
 	tellGuards = 12
@@ -22,53 +23,67 @@
 const tellShare = 0.1
 
 func (m *Machine) tellPause() time.Duration {
-	pause := tellEvery * time.Duration(1+len(m.places)/tellGuards)
-	passes := m.uplink.takes(float64(smallFrame * len(m.places)))
+	pause := tellEvery * time.Duration(max(1, m.toldGuards/(2*tellGuards)))
+	passes := m.uplink.takes(float64(smallFrame * m.toldGuards))
 	return max(pause, time.Duration(float64(passes)/tellShare))
 }
 
-// tellWant tells guards what waits here for room. The first task that waits is told to
-// the guards of the entry's own failure domain, where room is free again within
-// milliseconds, and to all if tasks still wait after a pause; so is one that is more
-// urgent than what they were told of, which would wait for that pause otherwise while room
-// goes to less urgent ones. That none waits any more is told to those who take it
-// otherwise, as they would hold room in vain.
+// tellWant tells guards what waits here for room. A job that is more urgent than what they
+// were told of is told at once: it would wait for the pause otherwise, while room goes to
+// less urgent ones. That none waits any more is told to those who take it otherwise, as
+// they would hold room in vain.
 func (m *Machine) tellWant(now time.Duration) {
 	want := m.want()
 	switch {
-	case want == m.told && (m.toldAll || want.CPU == 0):
+	case want == m.told && (m.toldGuards >= len(m.places) || want.CPU == 0):
 	case want.CPU == 0:
-		m.tell(now, want, func(s *site) bool { return s.want.CPU > 0 })
+		m.tellNone(now)
+	case m.told.CPU == 0 && m.opt.Off.Has(policy.NearTold):
+		m.tell(now, want, len(m.places))
 	case m.told.CPU == 0, want.Priority < m.told.Priority && !m.opt.Off.Has(policy.UrgentOffers):
-		m.tellFirst(now, want)
+		m.tell(now, want, max(tellGuards, m.toldGuards))
 	case now-m.toldAt >= m.tellPause():
-		m.tell(now, want, func(*site) bool { return true })
-		m.toldAll = true
+		m.tell(now, want, min(2*m.toldGuards, max(tellGuards, len(m.places))))
 	}
 }
 
-// tellFirst tells the guards of the own failure domain, or all if these are few.
-func (m *Machine) tellFirst(now time.Duration, want wire.RunWant) {
-	near := func(s *site) bool { return s.worker.Domain == m.opt.Domain }
-	n := 0
-	for _, s := range m.places {
-		if near(s) {
-			n++
-		}
+// tell tells n guards what waits here.
+func (m *Machine) tell(now time.Duration, want wire.RunWant, n int) {
+	m.told, m.toldAt, m.toldGuards = want, now, n
+	for _, s := range m.listeners(n) {
+		m.beat(now, s)
 	}
-	if n >= tellGuards && !m.opt.Off.Has(policy.NearTold) {
-		m.tell(now, want, near)
-		return
+}
+
+// listeners gives n sites to be told what waits here: those that were told before, others of
+// the own failure domain, and then the rest, drawn at random: entries that told the same
+// guards would wait for the same room.
+func (m *Machine) listeners(n int) []*site {
+	present := slices.DeleteFunc(slices.Clone(m.sites), func(s *site) bool { return s == nil })
+	if n >= len(present) {
+		return present
+	}
+	m.rng.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
+	slices.SortStableFunc(present, func(a, b *site) int { return m.distance(a) - m.distance(b) })
+	return present[:n]
+}
+
+// distance orders sites for listeners.
+func (m *Machine) distance(s *site) int {
+	switch {
+	case s.want.CPU > 0:
+		return 0
+	case s.worker.Domain == m.opt.Domain:
+		return 1
 	}
-	m.tell(now, want, func(*site) bool { return true })
-	m.toldAll = true
+	return 2
 }
 
-// tell tells some guards what waits here.
-func (m *Machine) tell(now time.Duration, want wire.RunWant, to func(*site) bool) {
-	m.told, m.toldAt, m.toldAll = want, now, false
+// tellNone tells the guards that know of tasks here that none waits any more.
+func (m *Machine) tellNone(now time.Duration) {
+	m.told, m.toldAt, m.toldGuards = wire.RunWant{}, now, 0
 	for _, s := range m.sites {
-		if s != nil && to(s) {
+		if s != nil && s.want.CPU > 0 {
 			m.beat(now, s)
 		}
 	}
--- a/internal/batch/tick.go
+++ b/internal/batch/tick.go
@@ -132,7 +132,7 @@
 	if len(m.queue) > 0 && m.uplink.holds {
 		sooner(m.uplink.opensAt())
 	}
-	if m.told.CPU > 0 && !m.toldAll {
+	if m.told.CPU > 0 && m.toldGuards < len(m.places) {
 		sooner(m.toldAt + m.tellPause())
 	}
 	return next
--- a/internal/batch/uplink.go
+++ b/internal/batch/uplink.go
@@ -15,8 +15,11 @@
 	lateLeast = 10 * time.Millisecond
 	// leastArrivals and rateSpan are how many frames in a row, and over how long, it takes
 	// to measure a rate.
-	leastArrivals = 4
-	rateSpan      = 20 * time.Millisecond
+	leastArrivals = 6
+	rateSpan      = 40 * time.Millisecond
+	// mostUneven is by how much the usual rate from one frame to the next may exceed that
+	// over the whole time: a link is even, a pause is not.
+	mostUneven = 2
 	// rateShare is the part of a measured rate that is used, so that the queue shrinks.
 	rateShare = 0.9
 	// growEvery and growBy are how fast the rate is raised while frames come in time.
@@ -190,7 +193,7 @@
 	}
 	overall := (busy[len(busy)-1].total - busy[0].total) / span.Seconds()
 	usual := usualRate(busy)
-	if usual > 4*overall {
+	if usual > mostUneven*overall {
 		return 0
 	}
 	return rateShare * max(overall, usual)
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -139,8 +139,9 @@
 	}
 }
 
-// SetEntries notes where entries are, this one among them, and tells the guards
-// of a change. An address may be listed twice: an entry that has restarted is, until
+// SetEntries notes where entries are, this one among them, and tells the guards of
+// those that are new. Told of all at each change, by each entry, the guards of a large fleet
+// get nothing else for as long as entries come back one after the other. An address may be listed twice: an entry that has restarted is, until
 // the registration of its earlier life lapses.
 func (e *Entry) SetEntries(addresses []string) {
 	if !slices.Contains(addresses, e.opt.Address) {
@@ -153,10 +154,14 @@
 	if slices.Equal(addresses, e.known) {
 		return
 	}
+	added := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return slices.Contains(e.known, a) })
 	e.known = addresses
 	e.opt.Log.Info("entries changed", "entries", len(addresses))
 	e.machine.SetEntries(len(addresses))
+	if len(added) == 0 {
+		return
+	}
 	for id := range e.links {
-		e.post(id, &wire.Frame{Entries: &wire.Entries{Addresses: addresses}})
+		e.post(id, &wire.Frame{Entries: &wire.Entries{Addresses: added}})
 	}
 }
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -75,6 +75,7 @@
 			backoff, reached, try = redialMin, time.Now(), 0
 		} else if time.Since(reached) > forgetAfter {
 			g.opt.Log.Info("address of an entry given up", "address", address, "err", err)
+			g.work.Go(func() { g.findAgain(ctx) })
 			return
 		}
 		pause.For(ctx, spread(backoff))
@@ -97,6 +98,17 @@
 	return redialMax
 }
 
+// findAgain asks the store where entries are after one was given up: it may only have been
+// cut off from here, and entries tell of others once.
+func (g *Guard) findAgain(ctx context.Context) {
+	pause.For(ctx, spread(lookupEvery))
+	found, err := g.opt.Lookup(ctx)
+	if err != nil {
+		g.opt.Log.Warn("entries not found in the store", "err", err)
+	}
+	g.AddEntries(found)
+}
+
 func (g *Guard) forget(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/batchnode/returns_test.go
+++ b/internal/batchnode/returns_test.go
@@ -10,6 +10,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"wigeontray/internal/wire"
+	"wigeontray/internal/wire/wiretest"
+
 	"wigeontray/internal/store"
 	"wigeontray/internal/telemetry"
 )
@@ -117,3 +120,43 @@
 		qt.Check(t, knownAt(2) > 0 && knownAt(2) <= storePause, qt.IsTrue, qt.Commentf("%v", knownAt(2)))
 	})
 }
+
+// An entry is cut off from a guard for more than a minute and listed all the while. The
+// guard gives its address up; found again, its worker serves that entry's callers as well.
+func TestGuardFindsAnEntryAgainThatItHadGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.entry("a")
+		w := newWorker(f, time.Second)
+		f.guard(w, []string{"a", "b"}, "a", "b").Heard(w.report())
+		time.Sleep(forgetAfter + 10*time.Second) // nobody listens at "b"
+		b := f.entry("b")
+		time.Sleep(2 * lookupEvery)
+		f.Assert(b.Workers(), qt.Equals, 1)
+	})
+}
+
+// Entries come back one after the other, and each that is here tells its guards. Given the
+// whole list each time, the guards of a large fleet would read hundreds of copies of it.
+func TestGuardsAreToldOfNewEntriesOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		e := f.entry("a")
+		guard, there := wiretest.Pipe()
+		go e.Serve(f.ctx, there)
+		f.Assert(guard.Send(&wire.Frame{RunHello: &wire.RunHello{Version: wire.Version, Incarnation: "g"}}), qt.IsNil)
+		next := func() *wire.Frame {
+			frame, err := guard.Recv(f.ctx)
+			f.Assert(err, qt.IsNil)
+			return frame
+		}
+		f.Assert(next().RunWelcome.Entries, qt.DeepEquals, []string{"a"})
+		e.SetEntries([]string{"a", "b"})
+		f.Check(next().Entries.Addresses, qt.DeepEquals, []string{"b"})
+		e.SetEntries([]string{"a"})
+		e.SetEntries([]string{"a", "b", "c"})
+		f.Check(next().Entries.Addresses, qt.DeepEquals, []string{"b", "c"})
+	})
+}
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -148,7 +148,7 @@
 	Ask      bool   `cbor:"3,keyasint,omitempty"` // the sender asks for a newer one
 }
 
-// Entries lists the addresses of the entries that the sender knows.
+// Entries lists the addresses of entries that the sender has come to know.
 type Entries struct {
 	Addresses []string `cbor:"1,keyasint"`
 }
