--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -54,8 +54,8 @@
 
 // quickShare is the part of the expected time in which a job may still end: the
 // callers' estimates are too long by up to two thirds. Refused at its expected
-// time, a job in seven of a queue whose tasks take as long as its callers wait
-// was turned away while workers were idle, and most would have ended in time.
+// time, many a job of a queue whose tasks take as long as its callers wait would be
+// turned away while workers are idle, and most would have ended in time.
 const quickShare = 0.6
 
 // admit refuses what cannot be served. A refusal is true for good: nothing of the
@@ -91,10 +91,6 @@
 // of it was sent. Callers who are refused that soon can still ask elsewhere. Held for as
 // long as it could still end in time, a job took its room at the last moment, and many of
 // those served ended just too late.
-//
-// In a simulated load of 1.0 and 1.25 of the room (see mayBegin), 79% and 64% were served
-// in time without the bound and 83% and 70% with it; 12% and 20% of the work done served
-// nobody in time, and 6% and 10% with it.
 const waitShare = 0.25
 
 // mostWait is how long a job may wait before anything of it is sent.
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -62,14 +62,8 @@
 // it holds that room while the rest of it waits behind all that is more urgent, and ends
 // too late. What waits as a whole can still be refused as not run.
 //
-// In a simulated load of 1.0 and 1.25 of the room (three entries, ten workers, three kinds
-// of requests, four seeds), 71% and 51% were served in time without the rule and 79% and
-// 64% with it, alone; 26% and 38% of the work done served nobody in time, and 12% and 20%
-// with it.
-//
 // free is the most free processor of any site. Most jobs of a long queue have no task that
-// is that small: with a look at the sites for each of 30 jobs, an event at a full fleet of
-// 72 workers took 12 to 26 microseconds in place of 1.3 (BenchmarkFullFleet).
+// is that small, and need no look at the sites: there is one at each event of a full fleet.
 func (m *Machine) mayBegin(j *job, free int64) bool {
 	q := j.spec.Queue
 	if j.sent || q.Priority <= m.urgent[q.Service].priority || m.opt.Off.Has(policy.WholeStarts) {
--- a/internal/batch/random_test.go
+++ b/internal/batch/random_test.go
@@ -20,8 +20,13 @@
 
 // play sends jobs for a while, with faults at random moments, and lets all end.
 func play(seed uint64, jobs int, resend time.Duration, f simFaults, trouble func(s *sim)) *sim {
+	return playOver(seed, jobs, resend, f, trouble, 0)
+}
+
+// playOver is the same over links of a rate, in bytes a second; 0 for no bound.
+func playOver(seed uint64, jobs int, resend time.Duration, f simFaults, trouble func(s *sim), linkRate float64) *sim {
 	s := newSim(seed, simEntries, simGuards, resend, 0)
-	s.faults = f
+	s.faults, s.linkRate = f, linkRate
 	start := s.now + 3*time.Second
 	s.run(start)
 	for n := range jobs {
@@ -91,6 +96,23 @@
 	}
 }
 
+// The same over links on which texts of jobs are fetched from other guards, while these are
+// killed, frozen and cut off as well. A task that begins once its text has come, after its
+// job was given up, would run beside the job's second run.
+func TestNoTaskRunsTwiceAtOnceOverThinLinks(t *testing.T) {
+	f := simFaults{lateOrder: 0.02, lostAnswer: 0.02, failRun: 0.01}
+	fetched := 0
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := playOver(30_000+seed, simJobs, runs.DefaultResend, f, anyTrouble, 62_500)
+			qt.Check(t, s.broken, qt.HasLen, 0)
+			qt.Check(t, s.counts.complete > s.counts.sent/4, qt.IsTrue, qt.Commentf("%+v", s.counts))
+			fetched += s.counts.fetched
+		})
+	}
+	qt.Check(t, fetched > 100, qt.IsTrue, qt.Commentf("%d texts were fetched", fetched))
+}
+
 // At half of what the workers can do and without trouble, every job is complete and
 // none is refused.
 func TestACalmDayIsServedWhole(t *testing.T) {
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -49,7 +49,7 @@
 	failRun    float64 // a run fails
 }
 
-type simCounts struct{ sent, complete, failed, refused, unknown, starts int }
+type simCounts struct{ sent, complete, failed, refused, unknown, starts, fetched int }
 
 type simJob struct {
 	id      string
--- a/internal/batch/simcaller_test.go
+++ b/internal/batch/simcaller_test.go
@@ -104,9 +104,12 @@
 	}
 }
 
+// simText is the length of the text of a job, in bytes.
+const simText = 2400
+
 // job makes a job and sends it.
 func (s *sim) job(n int) {
-	j := &simJob{id: fmt.Sprintf("%016x", n), began: s.now}
+	j := &simJob{id: fmt.Sprintf("%016x", n), began: s.now, text: textOf(simText)}
 	for i := range 1 + s.rng.IntN(2) {
 		step := batch.Step{
 			Count: 1 + s.rng.IntN(5), Need: sched.Room{CPU: 2000 + s.rng.Int64N(3000), MemoryMB: 64},
--- a/internal/batch/simnode_test.go
+++ b/internal/batch/simnode_test.go
@@ -235,6 +235,7 @@
 	s.after(2*simDelay, func() {
 		for _, o := range s.guards {
 			if text, ok := o.texts[f.Job]; ok && string(o.id) == f.Source && !o.gone && s.now >= o.frozen {
+				s.counts.fetched++
 				s.after(2*simDelay, answer(text, true))
 				return
 			}
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -20,9 +20,8 @@
 	dialTimeout = 300 * time.Millisecond
 	// connectQuick bounds the TCP connection of all tries but each patientTry-th. An
 	// address that is dark does not answer at all: a guard that waited for dialTimeout
-	// each time was without its entry for 0.27 s on average when that had come back, and
-	// for less than 0.15 s so (40 simulated guards). Meanwhile that entry refuses its
-	// callers. A round trip between regions takes 24 ms.
+	// each time would notice late that its entry has come back, which refuses its callers
+	// meanwhile. A round trip between regions is shorter.
 	connectQuick = 60 * time.Millisecond
 	patientTry   = 8
 	// redialMin is the first pause between dials. It doubles up to redialSoon or redialMax.
@@ -232,8 +231,8 @@
 
 // lookup asks the store for entries while there is no link, until ctx ends. It begins at
 // once: the entries that a guard is set up with are a few of many, and may be the last to
-// come back when all VMs had lost their power. Until then the guard stood idle, and the
-// entries that were back had no worker, for 0.3 s in a fleet of 65 VMs.
+// come back when all VMs had lost their power. Until then the guard would stand idle, and
+// the entries that are back have no worker.
 func (g *Guard) lookup(ctx context.Context) {
 	next := lookupSoon
 	for ctx.Err() == nil {
--- a/internal/batchnode/memory.go
+++ b/internal/batchnode/memory.go
@@ -15,7 +15,7 @@
 )
 
 // A worker reports every second and a half. After all guards were killed, the
-// fleet had no worker for half of that on average, and refused what came. A guard
+// fleet would have no worker until then, and refuse what comes. A guard
 // therefore keeps its worker's last report in the store, and its successor begins
 // with that: what may be out of date in it is verified with the worker, and a
 // report corrects the rest.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -16,8 +16,7 @@
 // Mechanism is one mechanism of a decision.
 type Mechanism uint8
 
-// Mechanisms. Without one, the machines leave its rule out; figures that were chosen with
-// it stay.
+// Mechanisms. Without one, the machines leave its rule out; all constants stay.
 const (
 	// WholeStarts lets a job that others may overtake begin only as a whole.
 	WholeStarts Mechanism = iota
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -195,9 +195,7 @@
 // Bounds in time of the machine.
 const (
 	// renewEvery is how long a Hold waits for an end. A busy worker answers sooner;
-	// the answer to one that is lost is missed only after this time. With 200 ms,
-	// and 4% of answers lost, guards heard nothing of their tasks for two thirds
-	// of the time.
+	// the answer to one that is lost is missed only after this time.
 	renewEvery = 60 * time.Millisecond
 	// orderTime is when an order counts as unanswered: a worker on the guard's own
 	// VM answers in one or two milliseconds, and the guard's processor pauses
--- a/internal/runs/doubt.go
+++ b/internal/runs/doubt.go
@@ -11,9 +11,6 @@
 // later. One notices that jobs of many short tasks are late of which no start went
 // unanswered. After the first order without an answer a guard therefore asks more often and
 // waits less long, for a while; a worker that answers is asked as seldom as before.
-//
-// In a simulated load of half the room, with one order in twenty unanswered for half of the
-// time, 23% of the jobs of eight tasks of 60 ms were late without the rule and 3.5% with it.
 const (
 	// doubtTime is how long after an order without an answer others may lack one.
 	doubtTime = 2 * time.Second
--- a/internal/runs/hang.go
+++ b/internal/runs/hang.go
@@ -11,14 +11,10 @@
 // One run that stands still may be its own fault, and is given stallLeast or more. A worker
 // on which runs of several jobs stand still at once, and none advances, hangs: what it has
 // is given back at once, and entries are told, before more is sent there. It looked idle
-// otherwise, and drew what came.
-//
-// In a simulated load of half the room, with two of ten workers hanging for half of the time,
-// 8.1% of the requests were missed without the rule and 4.6% with it.
+// otherwise, and would draw what comes.
 const (
-	// hangJobs is of how many jobs runs have to stand still. With three, a worker that had
-	// been tried with a task or two was found out late: 7.0% were missed, and 5.6% with two
-	// (other seeds).
+	// hangJobs is of how many jobs runs have to stand still. A worker that is tried again
+	// with a task or two is found out late with more.
 	hangJobs = 2
 	// hangLeast is for how long at least. A guard sees the runs every 15 to 60 ms.
 	hangLeast = 50 * time.Millisecond
--- a/internal/runs/offer.go
+++ b/internal/runs/offer.go
@@ -9,12 +9,10 @@
 
 // While entries wait for room, what becomes free is offered to one of them at a
 // time. Told to all, each would send a task for the same room, and all but one
-// would be refused: with four entries at a full fleet a task was sent up to 38
-// times, and its job was late for that alone.
+// would be refused: at a full fleet a task is sent dozens of times then, and its job
+// is late for that alone.
 //
-// The most urgent task that fits goes first, whichever entry has it. At a simulated load
-// of 1.6 of the room, 54% of the most urgent requests were served in time with offers in
-// turn, and 62% so.
+// The most urgent task that fits goes first, whichever entry has it.
 
 // An entry that did not use an offer is passed over for offerPause, and each further time
 // in a row for twice as long, up to mostUnused times (320 ms), until it is heard from. One
--- a/internal/runs/pace.go
+++ b/internal/runs/pace.go
@@ -9,8 +9,8 @@
 )
 
 // A worker that turns slow shows it in how its runs advance, long before they end. Learnt
-// from their ends alone, it was noticed after a dozen of them, which take five times as
-// long as usual: for seven seconds one request in seven was late.
+// from their ends alone, it is noticed after a dozen of them, each of which takes several
+// times as long as usual.
 
 // Bounds of the judgement. The run times of good workers spread by about 0.4 around what
 // is expected, and an estimate may be off by half.
