batchnode: copies of the configuration to guards have a rate limit

Each of 56 guards fetches its copy within 0.2 s; an entry sends about eight, 3 MB, and believes its link busy for 0.3 to 1.2 s (link_ahead in 'job refused').

Ruled out: links cut or lost (no 'guard is silent'), workers' room (1,900 of 2,200 cores free).

A guard that gets no answer asks another entry after 0.5 s, then after twice as long. Guards of earlier releases ask once and are always answered. Two counters tell of copies sent and delayed.

Red before: TestCopiesOfALargeConfigurationLeaveTheLinkToRequests (18 copies in a second from one entry).

--- a/internal/batchnode/config_test.go
+++ b/internal/batchnode/config_test.go
@@ -59,6 +59,7 @@
 const (
 	configEntries = 6
 	configGuards  = 60
+	largeConfig   = 400 << 10 // bytes
 )
 
 // configFleet is entries, one of which the store turns away, and ten times as many guards.
@@ -118,6 +119,51 @@
 	})
 }
 
+// Guards against callers that are refused while copies of a large configuration fill the
+// link of their entry.
+func TestCopiesOfALargeConfigurationLeaveTheLinkToRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, d, addresses := configFleet(t)
+		defer f.stop()
+		for _, a := range addresses {
+			f.Assert(f.entries[a].Offer(5, make([]byte, largeConfig)), qt.IsNil)
+		}
+		time.Sleep(time.Second)
+		for _, a := range addresses {
+			sent, _ := d.of(a)
+			f.Check(sent <= 2, qt.IsTrue, qt.Commentf("%s sent %d", a, sent))
+		}
+		time.Sleep(time.Minute)
+		sum := 0
+		for _, a := range addresses {
+			sent, _ := d.of(a)
+			sum += sent
+		}
+		f.Check(sum, qt.Equals, configGuards)
+	})
+}
+
+// Guards against an entry that obeys an old configuration while the store turns it away and
+// large ones come in quick succession.
+func TestEntryThatTheStoreTurnsAwayKeepsUpWithLargeConfigurations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, d, addresses := configFleet(t)
+		defer f.stop()
+		away := addresses[0]
+		const last = 12
+		for version := int64(1); version <= last; version++ {
+			for _, a := range addresses[1:] {
+				f.Assert(f.entries[a].Offer(version, make([]byte, largeConfig)), qt.IsNil)
+			}
+			time.Sleep(330 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		f.Check(f.inForce(away), qt.Equals, int64(last))
+		_, got := d.of(away)
+		f.Check(got <= last, qt.IsTrue, qt.Commentf("%d copies", got))
+	})
+}
+
 // An entry asks a guard for a newer configuration, and that guard is gone before it
 // answers. Without another try the entry would obey the old one for as long as the store
 // turns it away.
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -45,6 +45,7 @@
 	waiters map[string][]*waiter
 	known   []string // addresses of entries
 	queries queries
+	copies  copyLimit // of the configuration
 	alarm   *alarm
 	beat    time.Duration // when this process was last seen to run
 	woke    time.Duration // when it was last found to have been frozen
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -98,7 +98,7 @@
 
 func (e *Entry) receive(h *wire.RunHello, link wire.Link, f *wire.Frame) {
 	if f.Desired != nil {
-		e.fromGuard(link, f.Desired)
+		e.fromGuard(link, h.Version >= wire.AsksSince, f.Desired)
 		return
 	}
 	e.mu.Lock()
--- a/internal/batchnode/guardconfig.go
+++ b/internal/batchnode/guardconfig.go
@@ -15,8 +15,10 @@
 	// moment of its own. All of them at once, at the first entry that has it, fill its
 	// link for as long as hundreds of copies take, and what runs for it is given up.
 	askWithin = 200 * time.Millisecond
-	// askAgain is when another entry is asked if one has not answered.
-	askAgain = 500 * time.Millisecond
+	// askAgain is when another entry is asked if one has not answered; the pause doubles up
+	// to askAgainMost.
+	askAgain     = 500 * time.Millisecond
+	askAgainMost = 4 * time.Second
 	// relayAfter is how long entries have to get a configuration by themselves.
 	relayAfter = 300 * time.Millisecond
 )
@@ -50,12 +52,14 @@
 	g.newest = max(g.newest, version)
 	if g.newest > g.version && !g.asking {
 		g.asking = true
-		time.AfterFunc(rand.N(askWithin), g.ask)
+		time.AfterFunc(rand.N(askWithin), func() { g.ask(askAgain) })
 	}
 }
 
-// ask asks one of the entries that have a newer configuration for it, until it is there.
-func (g *Guard) ask() {
+// ask asks one of the entries that have a newer configuration for it, until it is there. An
+// entry does not answer while it sends copies to others; again is the pause until another one
+// is asked.
+func (g *Guard) ask(again time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var have []*guardLink
@@ -70,7 +74,7 @@
 	}
 	l := have[rand.IntN(len(have))]
 	_ = l.link.Send(&wire.Frame{Desired: &wire.Desired{Version: g.version}}) // see carryOut
-	time.AfterFunc(askAgain, g.ask)
+	time.AfterFunc(spread(again), func() { g.ask(min(2*again, askAgainMost)) })
 }
 
 func (g *Guard) relay() {
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -22,6 +22,8 @@
 	LinksRefused
 	TextsFetched
 	TextsMissed
+	CopiesSent
+	CopiesDelayed
 	LinksRevoked
 	HandshakesFailed
 	FramesOut
@@ -103,6 +105,8 @@
 	LinksLost:        {Name: "wigeontray_links_lost_total", Help: "Links that ended for any reason."},
 	TextsFetched:     {Name: "wigeontray_texts_fetched_total", Help: "Texts of jobs that a guard got from another guard."},
 	TextsMissed:      {Name: "wigeontray_texts_missed_total", Help: "Texts of jobs that a guard did not get from another guard; their entry sends them."},
+	CopiesSent:       {Name: "wigeontray_config_copies_sent_total", Help: "Copies of the configuration that an entry sent to guards."},
+	CopiesDelayed:    {Name: "wigeontray_config_copies_delayed_total", Help: "Requests of guards for a copy of the configuration that were not answered, as too many copies were sent lately; the guard asks again."},
 	LinksRefused:     {Name: "wigeontray_links_refused_total", Help: "Links that ended at their first frame: a wrong key, a version too far away or claims beyond the limits."},
 	LinksRevoked:     {Name: "wigeontray_links_revoked_total", Help: "Links of guards that were closed because their member's record no longer lists their key."},
 	HandshakesFailed: {Name: "wigeontray_tls_handshakes_failed_total", Help: "Connections that ended in their TLS handshake, such as those with a certificate of another authority."},
