batchnode, wire: a large configuration passes in pieces; an entry asks for it less and less often

A copy of 370 kB went out at once. While it passed, frames of requests were late, and the entry took its link for one of 0.1 to 0.8 MB/s; the copies it sent next stood, by that rate, 0.6 to 1.2 s ahead of every job ('job refused': link_ahead, link_rate). Elsewhere the same: an entry that the store turns away asked another guard every 0.2 s while the first copy was on its way.

Ruled out: leaving copies out of the estimate (on a thin link they do take it).

A copy goes out in pieces of 16 kB, at 1 MB/s or half of a thin link; protocol version 3, older guards get whole documents. A guard does not ask again while pieces come. An entry asks its holders in turn, after 0.2 s and then after twice as long, up to 3.2 s.

Red before: TestCopiesOfALargeConfigurationLeaveTheLinkToRequests (400 kB at once), TestEntryDoesNotAskForManyCopiesOfAConfigurationThatComesSlowly.

--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -45,7 +45,7 @@
 	waiters map[string][]*waiter
 	known   []string // addresses of entries
 	queries queries
-	copies  copyLimit // of the configuration
+	copies  copies // of the configuration
 	alarm   *alarm
 	beat    time.Duration // when this process was last seen to run
 	woke    time.Duration // when it was last found to have been frozen
@@ -76,6 +76,7 @@
 		waiters: make(map[string][]*waiter),
 		known:   []string{opt.Address},
 		queries: queries{open: make(map[uint64]*query)},
+		copies:  copies{going: make(map[wire.Link]*outCopy)},
 	}
 	e.alarm = newAlarm(opt.Clock, func() {
 		e.step(func(now time.Duration, m *batch.Machine) { m.Tick(now) })
@@ -197,6 +198,7 @@
 func (e *Entry) unlink(guard identity.Incarnation, why string) {
 	if link := e.links[guard]; link != nil {
 		delete(e.links, guard)
+		delete(e.copies.going, link)
 		link.Close(why)
 	}
 }
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -86,6 +86,7 @@
 	link.Close("done")
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	delete(e.copies.going, link)
 	if current := e.links[h.Incarnation]; current != nil && current != link {
 		return
 	}
@@ -98,7 +99,7 @@
 
 func (e *Entry) receive(h *wire.RunHello, link wire.Link, f *wire.Frame) {
 	if f.Desired != nil {
-		e.fromGuard(link, h.Version >= wire.AsksSince, f.Desired)
+		e.fromGuard(h, link, f.Desired)
 		return
 	}
 	e.mu.Lock()
--- a/internal/batchnode/guardconfig.go
+++ b/internal/batchnode/guardconfig.go
@@ -27,6 +27,12 @@
 // an older one: they may be cut off from the store.
 func (g *Guard) takeConfig(from *guardLink, d *wire.Desired) {
 	from.version = max(from.version, d.Version)
+	if d.Size > 0 {
+		d = from.copy.take(g.opt.Clock(), d)
+		if d == nil {
+			return
+		}
+	}
 	switch {
 	case d.Ask:
 		g.sendConfig(from, d.Version)
@@ -62,19 +68,31 @@
 func (g *Guard) ask(again time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var have []*guardLink
+	have, comes := g.newerAt()
+	g.asking = len(have) > 0
+	switch {
+	case !g.asking:
+		return
+	case comes:
+		again = askAgain
+	default:
+		l := have[rand.IntN(len(have))]
+		_ = l.link.Send(&wire.Frame{Desired: &wire.Desired{Version: g.version}}) // see carryOut
+	}
+	time.AfterFunc(spread(again), func() { g.ask(min(2*again, askAgainMost)) })
+}
+
+// newerAt gives the links to entries that have a newer configuration, and whether a copy of
+// one is coming.
+func (g *Guard) newerAt() (have []*guardLink, comes bool) {
+	now := g.opt.Clock()
 	for _, l := range g.links {
 		if l.version > g.version {
 			have = append(have, l)
 		}
+		comes = comes || l.copy.comes(now)
 	}
-	g.asking = len(have) > 0
-	if !g.asking {
-		return
-	}
-	l := have[rand.IntN(len(have))]
-	_ = l.link.Send(&wire.Frame{Desired: &wire.Desired{Version: g.version}}) // see carryOut
-	time.AfterFunc(spread(again), func() { g.ask(min(2*again, askAgainMost)) })
+	return have, comes
 }
 
 func (g *Guard) relay() {
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -47,6 +47,7 @@
 	entry   identity.Incarnation
 	version int64 // of the configuration that the entry has
 	asks    bool  // the entry asks for a newer configuration when it is told of one
+	copy    inCopy
 }
 
 // AddEntries begins to link to addresses that are not linked to yet.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -19,7 +19,7 @@
 // Version is the protocol version that this build speaks; MinVersion is the
 // oldest one that it still understands.
 const (
-	Version    = 2
+	Version    = 3
 	MinVersion = 1
 )
 
@@ -27,6 +27,7 @@
 const (
 	PackedSince = 2 // packed texts
 	AsksSince   = 2 // an entry asks for a configuration that it is told of
+	PiecesSince = 3 // a guard takes a configuration in pieces
 )
 
 // Frame is what one WebSocket message holds: exactly one of its fields is set.
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -146,6 +146,10 @@
 	Version  int64  `cbor:"1,keyasint"`
 	Document []byte `cbor:"2,keyasint,omitempty"`
 	Ask      bool   `cbor:"3,keyasint,omitempty"` // the sender asks for a newer one
+	// A large document comes in pieces, in order: Document is the one that begins at Offset
+	// of Size bytes. Size is 0 for a whole document.
+	Offset int64 `cbor:"4,keyasint,omitempty"`
+	Size   int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Entries lists the addresses of entries that the sender has come to know.
