batch: the uplink's names and comments in the usual terms; no change of behaviour

Also the few other places that said 'reckon'. 'kept' is now history, 'boundFor' shortFor, 'reckon' updateFree. go test ./internal/batch ./internal/runs ./internal/batchnode passes.

--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -112,7 +112,7 @@
 	LinkAhead time.Duration // that what was sent takes to pass the link
 }
 
-// LinkRate is what the link towards the guards bears, in bytes a second; 0 while it has not
+// LinkRate is the bandwidth towards the guards, in bytes a second; 0 while it has not
 // been found to be thin.
 func (m *Machine) LinkRate() int64 { return int64(m.uplink.rate) }
 
--- a/internal/batch/uplink.go
+++ b/internal/batch/uplink.go
@@ -30,16 +30,17 @@
 	// aheadMost is how much is put on the link ahead: enough that it does not stand
 	// idle until the next event, and little, as what is more urgent comes behind it.
 	aheadMost = 15 * time.Millisecond
-	// boundFor is how long the link counts as short after it has held a job back.
-	boundFor = 250 * time.Millisecond
-	// firstWindow is how many bytes are sent before anything is known of the link. What has
-	// come is added twice; at openWindow nothing limits what is sent but a measured rate.
+	// shortFor is how long the link counts as short after it has held a job back.
+	shortFor = 250 * time.Millisecond
+	// firstWindow is how many bytes are sent before anything is known of the link. It grows
+	// by twice the bytes that arrive in time; from openWindow on, only a measured rate limits
+	// what is sent.
 	firstWindow = 16 << 10
 	openWindow  = 256 << 10
 	// windowTimeout is after which a job is sent though nothing has come.
 	windowTimeout = 100 * time.Millisecond
-	// kept is how long it is remembered what was sent and came when.
-	kept = time.Second
+	// history is how long send and arrival times are remembered.
+	history = time.Second
 )
 
 // Sizes of frames on the link, in bytes, headers of packets included.
@@ -49,20 +50,19 @@
 	taskBytes  = 35
 )
 
-// uplink reckons what the link of this entry's VM bears towards the guards. An entry that
-// puts more on it than it bears does not notice: its frames stand in the buffers of its
-// connections for hundreds of milliseconds. What it believes of workers is as old then, its
-// tasks meet full workers and are sent again, each time with the text of their job, until
-// hardly anything else passes. Guards tell how old its frames were when they came; from
-// that it learns the rate of a thin link, and keeps back what would stand in a queue there:
-// here it can still be refused or overtaken.
+// uplink estimates the bandwidth from this entry to its guards, and paces jobs by it. Frames
+// beyond the bandwidth wait in the buffers of connections for hundreds of milliseconds. The
+// entry's view of its workers is as old then, tasks meet full workers and are sent again with
+// the text of their job, and the load collapses. Guards report the age of frames on arrival;
+// from that uplink measures the rate of a thin link. A job that is held back here can still be
+// refused or overtaken.
 type uplink struct {
 	rate     float64       // bytes a second; 0 while nothing has shown that the link is thin
-	free     time.Duration // when all that was sent has passed, by rate
-	window   float64       // bytes that may be on their way while the link is unknown
+	free     time.Duration // when everything sent has passed the link, by rate
+	window   float64       // bytes that may be in flight while the rate is unknown
 	total    float64       // bytes sent so far
 	tasks    float64       // the part of them up to the newest tasks
-	came     float64       // the part of them up to the newest tasks that have come
+	came     float64       // the part of them up to the newest tasks that have arrived
 	last     time.Duration // when the newest tasks were sent
 	marks    []mark        // what was sent lately, oldest first
 	arrivals []arrival     // what came lately, in order of sending
@@ -77,14 +77,14 @@
 	total float64
 }
 
-// arrival is a mark that came at its guard, not counting the time that a frame takes on its
-// way over an idle link.
+// arrival is a mark with the time at which it reached its guard, less the latency of an idle
+// link.
 type arrival struct {
 	mark
 	came time.Duration
 }
 
-// frameBytes is about what a frame takes on the link.
+// frameBytes estimates the size of a frame on the link.
 func frameBytes(f *wire.Frame) float64 {
 	switch {
 	case f.RunTasks != nil:
@@ -102,7 +102,7 @@
 	return len(t.Text)
 }
 
-// put notes a frame that is sent.
+// put records a frame that is sent.
 func (u *uplink) put(now time.Duration, f *wire.Frame) mark {
 	bytes := frameBytes(f)
 	u.total += bytes
@@ -110,8 +110,8 @@
 		u.tasks, u.last = u.total, now
 	}
 	m := mark{at: now, total: u.total}
-	if len(u.marks) > 0 && u.marks[0].at < now-2*kept {
-		u.forget(now - kept)
+	if len(u.marks) > 0 && u.marks[0].at < now-2*history {
+		u.forget(now - history)
 	}
 	u.marks = append(u.marks, m)
 	u.free = max(u.free, now) + u.takes(bytes)
@@ -143,20 +143,20 @@
 	return u.free - aheadMost
 }
 
-// widen lets more be on its way over a link on which frames come in time.
+// widen grows the window after a frame that arrived in time.
 func (u *uplink) widen(a arrival) {
 	if a.total > u.came {
 		u.window = max(u.window, firstWindow) + 2*(a.total-u.came)
 	}
 }
 
-// short tells whether the link has held jobs back lately.
-func (u *uplink) short(now time.Duration) bool { return u.held > 0 && now-u.held < boundFor }
+// short tells whether a job was held back within shortFor.
+func (u *uplink) short(now time.Duration) bool { return u.held > 0 && now-u.held < shortFor }
 
-// arrived takes a guard's word that what was sent has come, late later than over an idle
-// link.
+// arrived records a guard's report that a frame has arrived, late after the latency of an
+// idle link.
 func (u *uplink) arrived(now time.Duration, m mark, late time.Duration) {
-	if m.at < now-kept {
+	if m.at < now-history {
 		return
 	}
 	a := arrival{mark: m, came: m.at + late}
@@ -172,7 +172,7 @@
 		u.grow(now)
 	}
 	if u.rate > 0 {
-		u.reckon(now)
+		u.updateFree(now)
 	}
 }
 
@@ -210,9 +210,9 @@
 	return rates[len(rates)/2]
 }
 
-// reckon tells when all that was sent has passed, from the newest frame of which it is known
-// that it came.
-func (u *uplink) reckon(now time.Duration) {
+// updateFree estimates when everything sent has passed the link, from the newest frame that is
+// known to have arrived.
+func (u *uplink) updateFree(now time.Duration) {
 	newest := u.arrivals[len(u.arrivals)-1]
 	free, total := newest.came, newest.total
 	for _, m := range u.marks {
@@ -224,8 +224,8 @@
 	u.free = max(now, free)
 }
 
-// grow raises the rate while it holds jobs back and frames come in time all the same: a
-// link may bear more than it did.
+// grow raises the rate while it holds jobs back and frames arrive in time all the same: the
+// bandwidth may have grown.
 func (u *uplink) grow(now time.Duration) {
 	if !u.short(now) || now-u.grown < growEvery {
 		return
--- a/internal/batchnode/copies.go
+++ b/internal/batchnode/copies.go
@@ -28,8 +28,8 @@
 	piecePace = pace{rate: 1 << 20, share: 0.5}
 )
 
-// time is how long bytes take at the pace. linkRate is what the link bears in bytes a second,
-// 0 if it is not known to be thin.
+// time is how long bytes take at the pace. linkRate is the bandwidth of the link in bytes a
+// second, 0 if it is not known to be thin.
 func (p pace) time(bytes int, linkRate int64) time.Duration {
 	rate := p.rate
 	if linkRate > 0 {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -33,7 +33,7 @@
 	OwnDomain
 	// LearnedTimes corrects the callers' estimates of run times.
 	LearnedTimes
-	// QuickShare reckons that a job may end in a part of its expected time.
+	// QuickShare assumes that a job may end in a part of its expected time.
 	QuickShare
 	// Quarantine shuts out workers that fail or are slow.
 	Quarantine
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -50,7 +50,7 @@
 }
 
 // lateTasks is the age from which on an entry is told at once how old its tasks were when
-// they came, as it is after its first ones: it may be sending more than its link bears, and
+// they came, as it is after its first ones: it may be sending more than its link carries, and
 // would learn that only from the end of a run.
 const lateTasks = 30 * time.Millisecond
 
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -148,7 +148,7 @@
 // noteClock learns the worker's clock from an answer or a report. What it says was
 // on its way for a while, so that the estimate is not ahead of the worker when it
 // comes. Only the newest word counts: a clock that is 2% slow falls behind an older
-// one, and a lease reckoned from that would end later than this guard believes.
+// one, and a lease computed from that would end later than this guard believes.
 func (m *Machine) noteClock(now time.Duration, clockMs int64) {
 	if clockMs == 0 {
 		return
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -130,7 +130,7 @@
 	JobsHeld:       {Name: "wigeontray_jobs_held", Help: "Job records held for resubmissions."},
 	RosterVersion:  {Name: "wigeontray_roster_version", Help: "Version of the newest roster known."},
 	Waiters:        {Name: "wigeontray_waiters", Help: "Callers' requests open now."},
-	LinkRate:       {Name: "wigeontray_link_bytes_per_second", Help: "What the link of this entry towards the guards bears, once it has been found to be thin; 0 before."},
+	LinkRate:       {Name: "wigeontray_link_bytes_per_second", Help: "Bandwidth from this entry to its guards in bytes a second, once it has been found to be thin; 0 before."},
 }
 
 var latencyFamilies = [latencyCount]Family{
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -57,7 +57,7 @@
 // refused at once.
 type RunTasks struct {
 	Seq     uint64    `cbor:"1,keyasint"` // grows by one on a link
-	ClockMs int64     `cbor:"2,keyasint"` // the guard's clock at sending, as the entry reckons it
+	ClockMs int64     `cbor:"2,keyasint"` // the guard's clock at sending, as the entry estimates it
 	Job     string    `cbor:"3,keyasint"`
 	Text    string    `cbor:"4,keyasint,omitempty"` // what the tasks are, for the worker
 	LeftMs  int64     `cbor:"5,keyasint"`           // time until they are of no use and are stopped
