--- a/internal/batchnode/copies.go
+++ b/internal/batchnode/copies.go
@@ -15,33 +15,33 @@
 	pieceBytes = 16 << 10
 )
 
-// pace is a rate for copies.
-type pace struct {
-	rate  float64 // bytes a second
-	share float64 // of a thin link, at most
+// rateLimit bounds bytes a second, and the share of a thin link.
+type rateLimit struct {
+	bytes float64 // a second
+	share float64 // of a thin link
 }
 
-// One copy passes faster than copies do on average, so that some guard soon has a new
+// A single copy passes faster than copies do on average, so that some guard soon has a new
 // configuration.
 var (
-	copyPace  = pace{rate: 256 << 10, share: 0.25}
-	piecePace = pace{rate: 1 << 20, share: 0.5}
+	copyLimit  = rateLimit{bytes: 256 << 10, share: 0.25}
+	pieceLimit = rateLimit{bytes: 1 << 20, share: 0.5}
 )
 
-// time is how long bytes take at the pace. linkRate is the bandwidth of the link in bytes a
-// second, 0 if it is not known to be thin.
-func (p pace) time(bytes int, linkRate int64) time.Duration {
-	rate := p.rate
+// duration is how long bytes take at the limit. linkRate is the bandwidth of the link in bytes
+// a second, 0 if it is not known to be thin.
+func (l rateLimit) duration(bytes int, linkRate int64) time.Duration {
+	rate := l.bytes
 	if linkRate > 0 {
-		rate = min(rate, p.share*float64(linkRate))
+		rate = min(rate, l.share*float64(linkRate))
 	}
 	return time.Duration(float64(bytes) / rate * float64(time.Second))
 }
 
-// copies are those that an entry sends.
+// copies are the copies that an entry sends.
 type copies struct {
-	paid  time.Duration // when all that were begun have been paid for at copyPace
-	going map[wire.Link]*outCopy
+	busyUntil time.Duration // when those begun so far would have passed at copyLimit
+	sending   map[wire.Link]*outCopy
 }
 
 // outCopy is a copy of which pieces are still to be sent.
@@ -53,22 +53,22 @@
 
 // begin tells whether another copy may be begun, and counts it if so.
 func (c *copies) begin(now time.Duration, size int, linkRate int64) bool {
-	takes := copyPace.time(size, linkRate)
-	if c.paid > now && c.paid+takes > now+copyPace.time(copyBurst, linkRate) {
+	takes := copyLimit.duration(size, linkRate)
+	if c.busyUntil > now && c.busyUntil+takes > now+copyLimit.duration(copyBurst, linkRate) {
 		return false
 	}
-	c.paid = max(c.paid, now) + takes
+	c.busyUntil = max(c.busyUntil, now) + takes
 	return true
 }
 
-// sendCopy sends the configuration in force to a guard, unless it is on its way there. If too
-// many copies were begun lately, a guard has to ask again; one of an earlier release asks only
-// once, and takes no pieces.
+// sendCopy sends the configuration in force to a guard, unless a copy is on its way there.
+// Beyond the limit the guard has to ask again; one of an earlier release asks only once, and
+// takes no pieces.
 func (e *Entry) sendCopy(link wire.Link, guardVersion int) {
 	version, document := e.Config()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.copies.going[link] != nil {
+	if e.copies.sending[link] != nil {
 		return
 	}
 	if !e.copies.begin(e.opt.Clock(), len(document), e.machine.LinkRate()) && guardVersion >= wire.AsksSince {
@@ -80,13 +80,13 @@
 		e.sendBeside(link, &wire.Frame{Desired: &wire.Desired{Version: version, Document: document}})
 		return
 	}
-	e.copies.going[link] = &outCopy{version: version, document: document}
+	e.copies.sending[link] = &outCopy{version: version, document: document}
 	e.sendPieces(link)
 }
 
-// sendPieces sends the next piece of a copy, and the others in time. mu is held.
+// sendPieces sends the next piece of a copy and schedules the one after it. mu is held.
 func (e *Entry) sendPieces(link wire.Link) {
-	c := e.copies.going[link]
+	c := e.copies.sending[link]
 	if c == nil {
 		return // the link has ended
 	}
@@ -96,10 +96,10 @@
 	}})
 	c.sent += n
 	if c.sent == len(c.document) {
-		delete(e.copies.going, link)
+		delete(e.copies.sending, link)
 		return
 	}
-	time.AfterFunc(piecePace.time(n, e.machine.LinkRate()), func() {
+	time.AfterFunc(pieceLimit.duration(n, e.machine.LinkRate()), func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.sendPieces(link)
@@ -109,15 +109,15 @@
 // mostDocument bounds a configuration that comes in pieces, in bytes.
 const mostDocument = 4 << 20
 
-// inCopy is a copy that comes in pieces.
+// inCopy is a copy that arrives in pieces.
 type inCopy struct {
 	version  int64
 	document []byte
-	at       time.Duration // when the last piece came
+	at       time.Duration // when the last piece arrived
 }
 
-// take adds a piece and gives the whole once it is there. A piece out of order ends the copy;
-// the guard asks for it again.
+// take adds a piece, and returns the whole document after the last one, nil before. A piece out
+// of order discards the copy; the guard asks for it again.
 func (c *inCopy) take(now time.Duration, d *wire.Desired) *wire.Desired {
 	if d.Size > mostDocument || int64(len(d.Document)) > d.Size-d.Offset {
 		*c = inCopy{}
@@ -140,5 +140,5 @@
 	return whole
 }
 
-// comes tells whether a piece came lately.
-func (c *inCopy) comes(now time.Duration) bool { return c.at > 0 && now-c.at < askAgain }
+// arriving tells whether a piece arrived within askAgain.
+func (c *inCopy) arriving(now time.Duration) bool { return c.at > 0 && now-c.at < askAgain }
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -76,7 +76,7 @@
 		waiters: make(map[string][]*waiter),
 		known:   []string{opt.Address},
 		queries: queries{open: make(map[uint64]*query)},
-		copies:  copies{going: make(map[wire.Link]*outCopy)},
+		copies:  copies{sending: make(map[wire.Link]*outCopy)},
 	}
 	e.alarm = newAlarm(opt.Clock, func() {
 		e.step(func(now time.Duration, m *batch.Machine) { m.Tick(now) })
@@ -120,8 +120,8 @@
 const beatEvery = 200 * time.Millisecond
 
 // KeepBeat notes until ctx ends that this process runs, and asks again for a
-// configuration that did not come. After a pause it was
-// frozen, whatever the reason; which of its goroutines runs first then is open.
+// configuration that did not arrive. After a gap between two notes the process was frozen,
+// whatever the reason; which of its goroutines runs first then is open.
 func (e *Entry) KeepBeat(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.step(func(now time.Duration, _ *batch.Machine) { e.beat = now })
@@ -198,7 +198,7 @@
 func (e *Entry) unlink(guard identity.Incarnation, why string) {
 	if link := e.links[guard]; link != nil {
 		delete(e.links, guard)
-		delete(e.copies.going, link)
+		delete(e.copies.sending, link)
 		link.Close(why)
 	}
 }
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -86,7 +86,7 @@
 	link.Close("done")
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.copies.going, link)
+	delete(e.copies.sending, link)
 	if current := e.links[h.Incarnation]; current != nil && current != link {
 		return
 	}
@@ -140,10 +140,10 @@
 	}
 }
 
-// SetEntries notes where entries are, this one among them, and tells the guards of
-// those that are new. Told of all at each change, by each entry, the guards of a large fleet
-// get nothing else for as long as entries come back one after the other. An address may be listed twice: an entry that has restarted is, until
-// the registration of its earlier life lapses.
+// SetEntries notes where entries are, this one among them, and sends the new addresses to
+// the guards. The whole list at each change, from each entry, would fill the links of a large
+// fleet while its entries come back one after the other. An entry that has restarted is listed
+// twice until its earlier registration lapses.
 func (e *Entry) SetEntries(addresses []string) {
 	if !slices.Contains(addresses, e.opt.Address) {
 		addresses = append(addresses, e.opt.Address)
--- a/internal/batchnode/guardconfig.go
+++ b/internal/batchnode/guardconfig.go
@@ -68,12 +68,12 @@
 func (g *Guard) ask(again time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	have, comes := g.newerAt()
+	have, arriving := g.newerAt()
 	g.asking = len(have) > 0
 	switch {
 	case !g.asking:
 		return
-	case comes:
+	case arriving:
 		again = askAgain
 	default:
 		l := have[rand.IntN(len(have))]
@@ -82,17 +82,17 @@
 	time.AfterFunc(spread(again), func() { g.ask(min(2*again, askAgainMost)) })
 }
 
-// newerAt gives the links to entries that have a newer configuration, and whether a copy of
-// one is coming.
-func (g *Guard) newerAt() (have []*guardLink, comes bool) {
+// newerAt returns the links to entries that have a newer configuration, and whether a copy is
+// arriving.
+func (g *Guard) newerAt() (have []*guardLink, arriving bool) {
 	now := g.opt.Clock()
 	for _, l := range g.links {
 		if l.version > g.version {
 			have = append(have, l)
 		}
-		comes = comes || l.copy.comes(now)
+		arriving = arriving || l.copy.arriving(now)
 	}
-	return have, comes
+	return have, arriving
 }
 
 func (g *Guard) relay() {
