--- a/internal/batchnode/config_test.go
+++ b/internal/batchnode/config_test.go
@@ -12,7 +12,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"wigeontray/internal/wire"
-	"wigeontray/internal/wire/wiretest"
 )
 
 // counted counts the documents that pass a link.
@@ -200,9 +199,7 @@
 		defer f.stop()
 		e := f.entry("a")
 		f.Assert(e.Offer(5, make([]byte, largeConfig)), qt.IsNil)
-		guard, there := wiretest.Pipe()
-		go e.Serve(f.ctx, there)
-		f.Assert(guard.Send(&wire.Frame{RunHello: &wire.RunHello{Version: wire.PiecesSince - 1, Incarnation: "g"}}), qt.IsNil)
+		guard := f.link(e, "g", wire.PiecesSince-1)
 		f.Assert(guard.Send(&wire.Frame{Desired: &wire.Desired{}}), qt.IsNil)
 		for {
 			got, err := guard.Recv(f.ctx)
@@ -222,9 +219,7 @@
 		f := newFleet(t)
 		defer f.stop()
 		e := f.entry("a")
-		guard, there := wiretest.Pipe()
-		go e.Serve(f.ctx, there)
-		f.Assert(guard.Send(&wire.Frame{RunHello: &wire.RunHello{Version: wire.Version, Incarnation: "slow"}}), qt.IsNil)
+		guard := f.link(e, "slow", wire.Version)
 		f.Assert(guard.Send(&wire.Frame{Desired: &wire.Desired{Version: 5}}), qt.IsNil)
 		ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
 		defer cancel()
@@ -271,9 +266,7 @@
 		f := newFleet(t)
 		defer f.stop()
 		e := f.entry("a")
-		silent, there := wiretest.Pipe()
-		go e.Serve(f.ctx, there)
-		f.Assert(silent.Send(&wire.Frame{RunHello: &wire.RunHello{Version: wire.Version, Incarnation: "silent"}}), qt.IsNil)
+		silent := f.link(e, "silent", wire.Version)
 		f.Assert(silent.Send(&wire.Frame{Desired: &wire.Desired{Version: 5}}), qt.IsNil)
 		time.Sleep(50 * time.Millisecond)
 		f.entry("b")
--- a/internal/batchnode/fleet_test.go
+++ b/internal/batchnode/fleet_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wigeontray/internal/batch"
+	"wigeontray/internal/identity"
 	"wigeontray/internal/runs"
 	"wigeontray/internal/sched"
 	"wigeontray/internal/telemetry"
@@ -73,6 +74,14 @@
 	return e
 }
 
+// link opens a link to an entry as a guard that the test plays itself.
+func (f *fleet) link(e *Entry, guard identity.Incarnation, version int) wire.Link {
+	here, there := wiretest.Pipe()
+	go e.Serve(f.ctx, there)
+	f.Assert(here.Send(&wire.Frame{RunHello: &wire.RunHello{Version: version, Incarnation: guard}}), qt.IsNil)
+	return here
+}
+
 func (f *fleet) dial(_ context.Context, address string) (wire.Link, error) {
 	f.mu.Lock()
 	e := f.entries[address]
--- a/internal/batchnode/returns_test.go
+++ b/internal/batchnode/returns_test.go
@@ -11,7 +11,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"wigeontray/internal/wire"
-	"wigeontray/internal/wire/wiretest"
 
 	"wigeontray/internal/store"
 	"wigeontray/internal/telemetry"
@@ -144,9 +143,7 @@
 		f := newFleet(t)
 		defer f.stop()
 		e := f.entry("a")
-		guard, there := wiretest.Pipe()
-		go e.Serve(f.ctx, there)
-		f.Assert(guard.Send(&wire.Frame{RunHello: &wire.RunHello{Version: wire.Version, Incarnation: "g"}}), qt.IsNil)
+		guard := f.link(e, "g", wire.Version)
 		next := func() *wire.Frame {
 			frame, err := guard.Recv(f.ctx)
 			f.Assert(err, qt.IsNil)
