--- a/internal/batch/thin_test.go
+++ b/internal/batch/thin_test.go
@@ -113,10 +113,7 @@
 	})
 }
 
-// Entries have links of 1.5 to 16 Mbit/s, and what callers send takes a small part of that.
-// Each task that met a full worker was sent again with the text of its job; soon hardly
-// anything else passed, what entries believed of workers was half a second old, and nine
-// requests in ten were late, refused or given up.
+// Guards against congestion collapse on entries with thin links.
 func TestLoadOverThinLinksIsServedInTime(t *testing.T) {
 	const ofIdeal = 0.9
 	for _, rate := range linkRates {
--- a/internal/batch/uplink_test.go
+++ b/internal/batch/uplink_test.go
@@ -33,9 +33,7 @@
 	return came
 }
 
-// Eight frames that were put on a link of 2 Mbit/s at once come one after the other, 10 ms
-// apart. That tells what the link bears; without it, everything that callers ask for goes
-// onto the link, and waits there.
+// Guards against a thin link that is not recognised, so that frames queue on it.
 func TestRateOfAThinLinkIsMeasured(t *testing.T) {
 	var u uplink
 	burst(&u, time.Second, 8, thinRate)
@@ -45,9 +43,7 @@
 	qt.Check(t, u.open(u.opensAt()), qt.IsTrue)
 }
 
-// The process pauses for 80 ms, as its processor is used by others: what it had put on its
-// links before comes at once, the rest after the pause, at once as well. Taken for a thin
-// link, it would refuse callers while its link stands idle.
+// Guards against a pause of the process taken for a thin link.
 func TestPauseOfTheProcessIsNoThinLink(t *testing.T) {
 	var u uplink
 	now := time.Second
@@ -62,8 +58,7 @@
 	qt.Check(t, u.rate, qt.Equals, 0.0)
 }
 
-// The link was thin for a moment, as a configuration went over it to all guards. Held to
-// the rate of that moment, the entry would refuse a quarter of its callers for good.
+// Guards against callers refused for good after a link was thin for a moment.
 func TestRateOfAThinLinkIsRaisedAgain(t *testing.T) {
 	var u uplink
 	now := burst(&u, time.Second, 8, thinRate/10)
@@ -77,9 +72,7 @@
 	qt.Check(t, u.rate > thinRate, qt.IsTrue, qt.Commentf("%.0f", u.rate))
 }
 
-// All VMs come back at once, and callers who were refused send their requests again. An
-// entry that knows nothing of its link yet put seconds' worth of tasks on it, and no guard
-// could link to it meanwhile.
+// Guards against a link overfilled before its bandwidth is known.
 func TestLittleIsSentOverALinkThatIsNotKnown(t *testing.T) {
 	var u uplink
 	now := time.Second
@@ -134,9 +127,7 @@
 	return j
 }
 
-// The tasks of a job go to three workers. Over a thin link its text went three times, one
-// after the other, and the last tasks began too late; the other guards fetch it from the
-// first.
+// Guards against a text sent over a thin link once for each guard.
 func TestTextOfAJobPassesAThinLinkOnce(t *testing.T) {
 	m := thinEntry(3)
 	qt.Assert(t, m.Submit(0, longJob("j", 6)) == nil, qt.IsTrue)
@@ -149,8 +140,7 @@
 	}
 }
 
-// The guard that has the text is gone before others have fetched it. Their tasks would
-// wait for it until their caller has left; the entry sends the text itself.
+// Guards against tasks that wait for a text whose guard is gone.
 func TestTextThatIsNotToBeHadIsSentByTheEntry(t *testing.T) {
 	m := thinEntry(2)
 	qt.Assert(t, m.Submit(0, longJob("j", 4)) == nil, qt.IsTrue)
@@ -164,8 +154,7 @@
 	qt.Check(t, textBytes(again[0]) > 0, qt.IsTrue)
 }
 
-// A guard of an earlier release is not updated yet. A text in a form that it does not read
-// would start its tasks without one.
+// Guards against a packed text sent to a guard that cannot read it.
 func TestGuardOfAnEarlierReleaseGetsPlainTexts(t *testing.T) {
 	m := New(0, Options{Seed: 1})
 	m.GuardUp(0, &wire.RunHello{
@@ -181,8 +170,7 @@
 	qt.Check(t, list[0].Packed, qt.IsNil)
 }
 
-// Jobs wait for the link, and workers have room for all of them. Room that guards held for
-// them would stand empty until the link is free.
+// Guards against room held idle for jobs that wait for the link.
 func TestNoRoomIsHeldForJobsThatWaitForTheLink(t *testing.T) {
 	m := thinEntry(2)
 	m.uplink.free = time.Second
--- a/internal/batchnode/config_test.go
+++ b/internal/batchnode/config_test.go
@@ -98,9 +98,7 @@
 	return f, d, addresses
 }
 
-// The configuration changes. Asked by all guards at the first entry that had it, that entry
-// sent sixty copies at once; on a thin link nothing else passed for seconds, and what ran
-// for it was given up.
+// Guards against all guards fetching the configuration from the first entry that has it.
 func TestGuardsAskDifferentEntriesForTheConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, d, addresses := configFleet(t)
@@ -121,8 +119,7 @@
 	})
 }
 
-// The store turns one entry away while the configuration changes. Each guard sent it the
-// new one, sixty copies over its link; one is enough.
+// Guards against each guard sending its copy to an entry that the store turns away.
 func TestEntryThatTheStoreTurnsAwayGetsTheConfigurationOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, d, addresses := configFleet(t)
@@ -138,8 +135,7 @@
 	})
 }
 
-// Guards against callers that are refused while copies of a large configuration fill the
-// link of their entry.
+// Guards against requests refused while copies of a large configuration fill the link.
 func TestCopiesOfALargeConfigurationLeaveTheLinkToRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, d, addresses := configFleet(t)
@@ -164,8 +160,7 @@
 	})
 }
 
-// Guards against a guard that never has the configuration as its link breaks between two
-// pieces of it.
+// Guards against a configuration that never arrives as the link breaks between two pieces.
 func TestGuardGetsTheConfigurationThoughALinkBreaksMidway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
@@ -212,8 +207,7 @@
 	})
 }
 
-// Guards against an entry whose thin link is filled with copies of the configuration, each
-// asked for as the one before it takes long to come.
+// Guards against further copies asked for while one is arriving over a thin link.
 func TestEntryDoesNotAskForManyCopiesOfAConfigurationThatComesSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
@@ -237,8 +231,7 @@
 	})
 }
 
-// Guards against an entry that obeys an old configuration while the store turns it away and
-// large ones come in quick succession.
+// Guards against an old configuration in force while large ones come in quick succession.
 func TestEntryThatTheStoreTurnsAwayKeepsUpWithLargeConfigurations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, d, addresses := configFleet(t)
@@ -258,9 +251,7 @@
 	})
 }
 
-// An entry asks a guard for a newer configuration, and that guard is gone before it
-// answers. Without another try the entry would obey the old one for as long as the store
-// turns it away.
+// Guards against an old configuration in force as the guard that was asked is gone.
 func TestConfigurationIsAskedForAgainAtAnotherGuard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
@@ -277,8 +268,7 @@
 	})
 }
 
-// During an upgrade an entry of an earlier release does not ask for what it is told of, and
-// the store turns it away. Told of the new configuration only, it would never have it.
+// Guards against an entry of an earlier release, which never asks, left without it.
 func TestEntryOfAnEarlierReleaseIsSentTheConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
--- a/internal/batchnode/returns_test.go
+++ b/internal/batchnode/returns_test.go
@@ -120,8 +120,7 @@
 	})
 }
 
-// An entry is cut off from a guard for more than a minute and listed all the while. The
-// guard gives its address up; found again, its worker serves that entry's callers as well.
+// Guards against an entry without a worker after a cut that outlasts forgetAfter.
 func TestGuardFindsAnEntryAgainThatItHadGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
@@ -136,8 +135,7 @@
 	})
 }
 
-// Entries come back one after the other, and each that is here tells its guards. Given the
-// whole list each time, the guards of a large fleet would read hundreds of copies of it.
+// Guards against links filled with the whole list of entries at each change.
 func TestGuardsAreToldOfNewEntriesOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
--- a/internal/batchnode/texts_test.go
+++ b/internal/batchnode/texts_test.go
@@ -14,8 +14,7 @@
 	"wigeontray/internal/runs"
 )
 
-// A guard asks for a text before the frame that brings it has come: the two take different
-// ways. Turned away, it would give its tasks back, and their caller wait for another try.
+// Guards against tasks given back as their text was asked for just before it arrived.
 func TestTextIsWaitedForAMoment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		texts, k := NewTexts(), textKey{entry: "e", job: "j"}
@@ -29,8 +28,7 @@
 	})
 }
 
-// Texts come for hours, and guards ask for some that never come. Kept for good, they would
-// fill the memory of a small VM and end the guard.
+// Guards against texts that pile up until the guard is out of memory.
 func TestTextsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		texts := NewTexts()
@@ -49,8 +47,7 @@
 	})
 }
 
-// A text goes over HTTP from one guard to another; one that is not there, and an answer
-// that was cut, are told apart from it.
+// Guards against a missing or cut answer of another guard taken for a text.
 func TestTextIsFetchedFromAnotherGuard(t *testing.T) {
 	texts := NewTexts()
 	texts.keep(textKey{entry: "e/1", job: "j"}, "text")
--- a/internal/runs/fetch_test.go
+++ b/internal/runs/fetch_test.go
@@ -33,8 +33,7 @@
 
 func (r *rig) fetched(ok bool) { r.m.Fetched(r.now, testEntry, "job", "text", ok) }
 
-// Two tasks come without their text, and a third finds no room beside them. The text is
-// fetched once and both begin with it.
+// Guards against a text fetched once for each task, or room held beyond it.
 func TestTasksBeginOnceTheirTextIsThere(t *testing.T) {
 	r := newRig(t)
 	r.sendWithoutText(1, 2, 3)
@@ -53,8 +52,7 @@
 	}
 }
 
-// The guard that had the text is gone. Its tasks are given back as not run, with word that
-// the text was missing: sent again as before, they would wait for it once more.
+// Guards against tasks sent again without the text that was missing.
 func TestTasksWhoseTextIsMissingAreGivenBack(t *testing.T) {
 	r := newRig(t)
 	r.sendWithoutText(1)
@@ -67,9 +65,7 @@
 	r.Check(got.ends[0].Ran, qt.Equals, errkind.RanNo)
 }
 
-// While tasks await their text, their entry falls silent, or withdraws them, or the worker
-// announces its end. Begun all the same, they would run beside the same job at another
-// entry, or on a worker that is to get nothing new.
+// Guards against tasks begun after they were withdrawn while they awaited their text.
 func TestTasksThatAwaitTheirTextAreNotBegunInVain(t *testing.T) {
 	for name, event := range map[string]func(r *rig){
 		"the entry is silent": func(r *rig) { r.pass(testTiming.Permit + 10*time.Millisecond) },
@@ -102,8 +98,7 @@
 	}
 }
 
-// An entry sends more than its link bears, and its tasks come 200 ms late. It would learn
-// that from the end of a run only, and go on sending as much until then.
+// Guards against an entry that learns only from ends that its tasks arrive late.
 func TestEntryIsToldAtOnceThatItsTasksComeLate(t *testing.T) {
 	r := newRig(t)
 	r.send(r.now, 1)
--- a/internal/wire/text_test.go
+++ b/internal/wire/text_test.go
@@ -39,8 +39,7 @@
 	qt.Check(t, len(p.Bytes) < 3*len(text)/4, qt.IsTrue, qt.Commentf("%d of %d bytes", len(p.Bytes), len(text)))
 }
 
-// A broken peer sends a packed text that cannot be read, or that claims another length. The
-// frame is refused: tasks that began with what was read of it would do something else.
+// Guards against tasks started with a part of a broken packed text.
 func TestPackedTextThatCannotBeReadIsRefused(t *testing.T) {
 	good := PackText(strings.Repeat("abcdefgh", 100))
 	for name, p := range map[string]*PackedText{
