--- a/internal/batch/random_test.go
+++ b/internal/batch/random_test.go
@@ -96,9 +96,7 @@
 	}
 }
 
-// The same over links on which texts of jobs are fetched from other guards, while these are
-// killed, frozen and cut off as well. A task that begins once its text has come, after its
-// job was given up, would run beside the job's second run.
+// Guards against a task run twice as its text was fetched around faults over thin links.
 func TestNoTaskRunsTwiceAtOnceOverThinLinks(t *testing.T) {
 	f := simFaults{lateOrder: 0.02, lostAnswer: 0.02, failRun: 0.01}
 	fetched := 0
