httpserve: a request that has arrived is answered by a server that stops

Ruled out: requests cut off by the end of the grace time (none was open), callers that had left. Change: Stop closes the listener, ends the connections on which nothing has arrived, answers the others with Connection: close, and only then shuts the server down.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -36,6 +36,7 @@
 	listener net.Listener
 	http     *http.Server
 	errors   *errorLog
+	conns    connTable
 }
 
 // Listen opens addr (host:port; port 0 picks one) and returns a server for h.
@@ -49,6 +50,7 @@
 }
 
 func newServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config, l Limits) *Server {
+	ln = &onceListener{Listener: ln}
 	h = notePeer(timeBodies(h, l.BodyTimeout))
 	if l.Connections > 0 {
 		limited := &limitListener{Listener: ln, free: make(chan struct{}, l.Connections), closed: make(chan struct{})}
@@ -58,14 +60,17 @@
 		ln = tls.NewListener(ln, tlsConfig)
 	}
 	errors := &errorLog{rest: os.Stderr}
-	return &Server{listener: ln, errors: errors, http: &http.Server{
-		Handler:           h,
+	s := &Server{listener: ln, errors: errors, conns: connTable{open: make(map[net.Conn]http.ConnState)}}
+	s.http = &http.Server{
+		Handler:           s.conns.endWhileStopping(h),
 		ErrorLog:          log.New(errors, "", log.LstdFlags),
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.HeaderBytes,
 		ConnContext:       keepPeer,
-	}}
+		ConnState:         s.conns.note,
+	}
+	return s
 }
 
 // Addr is the address that the server listens on.
@@ -76,15 +81,32 @@
 
 // Serve runs until Stop and returns nil after it.
 func (s *Server) Serve() error {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	err := s.http.Serve(s.listener)
+	if !errors.Is(err, http.ErrServerClosed) && !s.conns.stopping.Load() {
 		return fmt.Errorf("serve %s: %w", s.Addr(), err)
 	}
 	return nil
 }
 
 // Stop closes the listener and waits until every request in flight is answered
-// or ctx ends.
-func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// or ctx ends. A request that has arrived is in flight, also if it has not been read yet.
+// The server of net/http would drop one that it reads while it shuts down.
+func (s *Server) Stop(ctx context.Context) error {
+	s.conns.stopping.Store(true)
+	_ = s.listener.Close() // it may be closed already
+	for {
+		open := s.conns.endUnused()
+		if open == 0 {
+			return s.http.Shutdown(ctx)
+		}
+		select {
+		case <-s.conns.changed():
+		case <-time.After(lookForUnused):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
 
 // Close ends the listener and all connections at once.
 func (s *Server) Close() error { return s.http.Close() }
@@ -148,7 +170,7 @@
 		return nil, err
 	}
 	l.open.Add(1)
-	return &limitedConn{Conn: c, release: func() { l.open.Add(-1); <-l.free }}, nil
+	return &limitedConn{Conn: c, since: time.Now(), release: func() { l.open.Add(-1); <-l.free }}, nil
 }
 
 // crowdedAt is the part of the limit from which on connections are not kept.
@@ -172,19 +194,6 @@
 	return l.Listener.Close()
 }
 
-type limitedConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close implements net.Conn; the first call makes room for another connection.
-func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
-}
-
 // errorLog takes the lines that net/http writes. Failed handshakes are counted:
 // anybody who reaches the port can cause them, and a line for each would bury
 // the log. What remains, above all panics, is written.
--- a/internal/httpserve/peer.go
+++ b/internal/httpserve/peer.go
@@ -96,10 +96,16 @@
 	}
 }
 
-// endOfStream looks at the receive buffer without taking anything from it.
-func endOfStream(fd int) bool {
+// peek counts the next byte in the receive buffer, without taking it.
+func peek(fd int) (int, error) {
 	var next [1]byte
 	n, _, err := syscall.Recvfrom(fd, next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
+// endOfStream looks at the receive buffer without taking anything from it.
+func endOfStream(fd int) bool {
+	n, err := peek(fd)
 	switch {
 	case err == nil:
 		return n == 0
