--- a/internal/proctest/proctest.go
+++ b/internal/proctest/proctest.go
@@ -38,6 +38,7 @@
 	p := &Process{cmd: exec.Command(binary, args...), ended: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with a killed test
 	if err := p.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", binary, err)
 	}
