runs, batch: no task begins in a failure domain that the operators drain

Change: both machines are told the drained domains as of a revision of the store. A guard whose worker is in one offers and starts nothing, whatever entries send that have not heard of it, gives back tasks whose text is still awaited, does not repeat a start without an answer, and lets what runs end. An entry counts these workers out of its room at once, so that admission refuses by what is left. Taken back, a worker that says it is cold begins with one task an entry, doubled with each good run; the others serve as before at once. Ruled out: a rule at entries alone (one that the store turns away would go on sending).

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -113,7 +113,7 @@
 		case usable > 0:
 		case there == 0 && now-m.began < startTime && !m.opt.Off.Has(policy.StartGrace):
 		case suited > 0 || there == 0 || now-m.began < settleTime:
-			return refusal(errkind.NoWorkers, m.spread(afterNoWorkers), "no worker for step %d is ready", i)
+			return refusal(errkind.NoWorkers, m.spread(afterNoWorkers), "no worker for step %d is ready; %d failure domains are drained", i, len(m.drains.Domains))
 		default:
 			return refusal(errkind.NeverFits, 0, "no worker could ever run step %d", i)
 		}
--- /dev/null
+++ b/internal/batch/drain_test.go
@@ -0,0 +1,114 @@
+package batch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/batch"
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/runs"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// drainTrouble drains and takes back domains amid other trouble.
+func drainTrouble(s *sim) {
+	switch s.rng.IntN(4) {
+	case 0:
+		s.drain("d0")
+	case 1:
+		s.drain("d1")
+	case 2:
+		s.drain()
+	default:
+		anyTrouble(s)
+	}
+}
+
+// Guards against starts in a drained failure domain, and against jobs that run twice or are
+// refused untruly around a drain.
+func TestNothingStartsInADrainedDomainUnderRandomTrouble(t *testing.T) {
+	f := simFaults{lateOrder: 0.02, lostAnswer: 0.02, failRun: 0.01}
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := play(40_000+seed, simJobs, runs.DefaultResend, f, drainTrouble)
+			qt.Check(t, s.broken, qt.HasLen, 0)
+			qt.Check(t, s.counts.complete > s.counts.sent/4, qt.IsTrue, qt.Commentf("%+v", s.counts))
+		})
+	}
+}
+
+// Guards against a load of 0.45 that goes on to be sent to one of two domains after its drain,
+// and against a domain that stays unused after it was taken back.
+func TestLoadWithADrainedDomainIsServedByTheOther(t *testing.T) {
+	list := load{ofRoom: 0.45, drain: true}.results(t)
+	served := mean(list, (*loadResult).served)
+	qt.Check(t, served > 0.93, qt.IsTrue, qt.Commentf("%.3f", served))
+}
+
+// Guards against a load beyond the room that a drain leaves being worked on in vain.
+func TestLoadBeyondTheRoomOfADrainWastesLittle(t *testing.T) {
+	list := load{ofRoom: 0.75, drain: true}.results(t)
+	wasted := mean(list, func(r *loadResult) float64 { return r.wasted })
+	qt.Check(t, wasted < 0.08, qt.IsTrue, qt.Commentf("%.3f", wasted))
+}
+
+// guardOf gives the first word of a guard whose worker is in a failure domain.
+func guardOf(name identity.Incarnation, domain string) *wire.RunHello {
+	room := sched.Room{CPU: 8000, MemoryMB: 1000}
+	return &wire.RunHello{
+		Version: wire.Version, Incarnation: name,
+		Worker: wire.RunWorker{ID: "w-" + string(name), Service: "svc", Domain: domain, Capacity: room, Usable: true},
+		Load:   wire.RunLoad{ClockMs: 1, Free: room},
+	}
+}
+
+// Guards against jobs that wait for the room of drained workers instead of being refused.
+func TestEntryKnowsAtOnceWhatADrainLeaves(t *testing.T) {
+	now := time.Hour
+	m := batch.New(now, batch.Options{Domain: "d0"})
+	m.SetDrains(now, &wire.Drains{Revision: 1, Domains: []string{"d1"}})
+	m.GuardUp(now, guardOf("g0", "d0"))
+	m.GuardUp(now, guardOf("g1", "d1")) // one that comes during a drain
+	qt.Check(t, m.Workers(), qt.Equals, 1)
+	m.SetDrains(now, &wire.Drains{Revision: 2, Domains: []string{"d0", "d1"}})
+	qt.Check(t, m.Workers(), qt.Equals, 0)
+	err := m.Submit(now, &batch.Job{ID: "1", Queue: simQueue, Deadline: now + time.Second, Steps: []batch.Step{{
+		Count: 1, Need: sched.Room{CPU: 1000}, Estimate: 100 * time.Millisecond,
+	}}})
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Check(t, err.Kind, qt.Equals, errkind.NoWorkers)
+	qt.Check(t, err.After > 0, qt.IsTrue)
+	m.SetDrains(now, &wire.Drains{Revision: 3})
+	qt.Check(t, m.Workers(), qt.Equals, 2)
+}
+
+// Guards against a cold worker that gets its full share at once when its domain is taken back.
+func TestColdWorkerBeginsWithOneTask(t *testing.T) {
+	now := time.Hour
+	m := batch.New(now, batch.Options{Domain: "d0"})
+	g := guardOf("g0", "d0")
+	m.GuardUp(now, g)
+	m.SetDrains(now, &wire.Drains{Revision: 1, Domains: []string{"d0"}})
+	g.Worker.Cold, g.Worker.Usable = true, false
+	m.Beat(now, "g0", &wire.GuardBeat{Load: g.Load, Worker: &g.Worker})
+	m.SetDrains(now, &wire.Drains{Revision: 2})
+	g.Worker.Usable = true
+	m.Beat(now, "g0", &wire.GuardBeat{Load: g.Load, Worker: &g.Worker})
+	m.Actions(now)
+	err := m.Submit(now, &batch.Job{ID: "1", Queue: simQueue, Deadline: now + time.Second, Steps: []batch.Step{{
+		Count: 3, Need: sched.Room{CPU: 1000}, Estimate: 100 * time.Millisecond,
+	}}})
+	qt.Assert(t, err == nil, qt.IsTrue, qt.Commentf("%v", err))
+	sent := 0
+	for _, a := range m.Actions(now) {
+		if a.Frame != nil && a.Frame.RunTasks != nil {
+			sent += len(a.Frame.RunTasks.Tasks)
+		}
+	}
+	qt.Check(t, sent, qt.Equals, 1)
+}
--- a/internal/batch/load_test.go
+++ b/internal/batch/load_test.go
@@ -54,8 +54,9 @@
 	ofRoom float64 // work that is asked for, by the room of all workers
 	length time.Duration
 	off    policy.Set
-	slow   int // workers that turn slow after a quarter of the length, for half of it
-	hang   int // workers whose tasks stand still for that time
+	slow   int  // workers that turn slow after a quarter of the length, for half of it
+	hang   int  // workers whose tasks stand still for that time
+	drain  bool // one of the two failure domains is drained for that time
 	// unanswered is the part of the orders to workers without an answer, from a quarter
 	// of the length on, for half of it.
 	unanswered float64
@@ -142,6 +143,10 @@
 		})
 		s.at(start+3*l.length/4, w.goOn)
 	}
+	if l.drain {
+		s.at(start+l.length/4, func() { s.drain("d0") })
+		s.at(start+3*l.length/4, func() { s.drain() })
+	}
 	s.at(start+l.length/4, func() { s.faults.lateOrder = l.unanswered })
 	s.at(start+3*l.length/4, func() { s.faults.lateOrder = 0 })
 	s.run(start + l.length + 6*time.Second)
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -55,6 +55,7 @@
 	// toldGuards is to how many guards that was told, at most.
 	toldGuards int
 	uplink     uplink
+	drains     wire.Drains // failure domains in which nothing is started
 
 	actions []Action
 }
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -33,9 +33,11 @@
 	// linkRate is what the link of an entry bears in each direction, in bytes a second; 0
 	// for no bound.
 	linkRate float64
-	resend   time.Duration // when callers without an answer send a job again
-	off      policy.Set    // mechanisms that are switched off
-	broken   []string      // rules that were broken
+	resend   time.Duration            // when callers without an answer send a job again
+	off      policy.Set               // mechanisms that are switched off
+	drains   wire.Drains              // as the operators have them
+	drained  map[string]time.Duration // since when guards know of a domain's drain
+	broken   []string                 // rules that were broken
 	counts   simCounts
 
 	worked float64 // at workers, in cores times seconds
@@ -151,11 +153,57 @@
 		texts: make(map[string]string), worker: s.workers[i], links: make(map[identity.Incarnation]*simLink),
 	}
 	s.guards[i] = g
+	s.tellGuard(g)
 	for _, e := range s.entries {
 		s.link(e, g)
 	}
 }
 
+// drain lets the operators drain some failure domains and take all others back. Entries and
+// guards hear of it within a few round trips.
+func (s *sim) drain(domains ...string) {
+	s.drains = wire.Drains{Revision: s.drains.Revision + 1, Domains: domains}
+	for _, e := range s.entries {
+		s.tellEntry(e)
+	}
+	for _, g := range s.guards {
+		s.tellGuard(g)
+	}
+	before := s.drained
+	s.drained = make(map[string]time.Duration)
+	for _, d := range domains {
+		s.drained[d] = s.now + drainHeard
+		if since, ok := before[d]; ok {
+			s.drained[d] = since
+		}
+	}
+}
+
+// drainHeard is within what time all processes that are not frozen have heard of a drain.
+const drainHeard = 20 * simDelay
+
+func (s *sim) tellEntry(e *simEntry) {
+	if s.drains.Revision == 0 {
+		return
+	}
+	s.after(time.Duration(s.rng.Int64N(int64(drainHeard))), func() {
+		if !e.gone {
+			e.take(func() { e.step(func() { e.m.SetDrains(s.now, &s.drains) }) })
+		}
+	})
+}
+
+func (s *sim) tellGuard(g *simGuard) {
+	if s.drains.Revision == 0 {
+		return
+	}
+	s.after(time.Duration(s.rng.Int64N(int64(drainHeard))), func() {
+		if !g.gone {
+			g.take(func() { g.step(func() { g.m.SetDrains(s.now, &s.drains) }) })
+		}
+	})
+}
+
 // killGuard ends a guard's process and starts another a little later.
 func (s *sim) killGuard(i int, down time.Duration) {
 	g := s.guards[i]
@@ -186,6 +234,7 @@
 	fmt.Sscanf(string(e.id), fmt.Sprintf("e%d-%%d", i), &life)
 	s.after(down, func() {
 		s.entries[i] = s.newEntry(i, life+1)
+		s.tellEntry(s.entries[i])
 		for _, g := range s.guards {
 			if !g.gone {
 				if l := g.links[e.id]; l != nil {
--- a/internal/batch/simnode_test.go
+++ b/internal/batch/simnode_test.go
@@ -30,6 +30,7 @@
 	worker *simWorker
 	links  map[identity.Incarnation]*simLink
 	frozen time.Duration
+	woke   time.Duration // when it last woke
 	held   []func()
 	tickAt time.Duration
 	gone   bool
@@ -85,7 +86,9 @@
 	})
 }
 
-func (g *simGuard) take(do func()) { takeNow(g.s, &g.frozen, &g.held, do, func() {}) }
+func (g *simGuard) take(do func()) {
+	takeNow(g.s, &g.frozen, &g.held, do, func() { g.woke = g.s.now })
+}
 
 func takeNow(s *sim, frozen *time.Duration, held *[]func(), do, woke func()) {
 	if s.now >= *frozen {
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -158,6 +158,7 @@
 	if other, twice := s.running[task]; twice {
 		s.breaks("task %s was started at %s while it runs at %s", task, w.id, other)
 	}
+	s.checkDrain(w, task)
 	if job.refused {
 		s.breaks("task %s was started after its job was refused as not run", task)
 	}
@@ -183,6 +184,19 @@
 	return runs.Done
 }
 
+// drainBound is how long after a request to drain a domain tasks may start there.
+const drainBound = time.Second
+
+// checkDrain looks at a start in a drained domain. A guard that has just woken takes what was
+// held up in its order.
+func (s *sim) checkDrain(w *simWorker, task string) {
+	domain := domainOf(w.number)
+	since, drained := s.drained[domain]
+	if drained && s.now-since > drainBound && s.now-s.guards[w.number].woke > drainBound {
+		s.breaks("task %s was started in %s, which has been drained for %v", task, domain, s.now-since)
+	}
+}
+
 // endAfter ends a run once it has worked for its time.
 func (w *simWorker) endAfter(r *simRun, left time.Duration, how runs.How) {
 	life := w.life
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -108,11 +108,15 @@
 }
 
 func (m *Machine) describe(s *site, w *wire.RunWorker) {
-	if w.ID != s.worker.ID {
+	before := s.worker
+	if w.ID != before.ID {
 		s.health, s.sick = sched.Health{}, false
 		m.view[s.place].Limit = 0
 	}
 	s.worker = *w
+	if w.ID != before.ID || !before.Usable || !before.Cold {
+		m.tryCold(s)
+	}
 	v := &m.view[s.place]
 	v.Service, v.Domain, v.Rack, v.Labels, v.Capacity = w.Service, w.Domain, w.Rack, w.Labels, w.Capacity
 	m.setState(s)
@@ -123,7 +127,7 @@
 	switch {
 	case s.worker.ID == "":
 		v.State = sched.Absent
-	case !s.worker.Usable:
+	case !s.worker.Usable, m.drains.Has(s.worker.Domain):
 		v.State = sched.Leaving
 	case s.sick:
 		v.State = sched.Quarantined
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -48,6 +48,7 @@
 	Rack     string
 	Labels   []string
 	Capacity sched.Room
+	Cold     bool // it is slow for now, after its start or a drain
 }
 
 // Check tells why a report names no worker to use, or nil. Another writer may have
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -70,6 +70,7 @@
 	life    life
 	next    *Report // another life that has reported and is to be verified
 	leaving bool    // the guard stops
+	drains  wire.Drains
 	pacing  pacing
 	// doubtful is until when answers are expected to be missing.
 	doubtful time.Duration
@@ -202,7 +203,7 @@
 
 // setUsable notes whether new tasks are taken, and announces a change.
 func (m *Machine) setUsable(now time.Duration, usable bool) {
-	usable = usable && !m.leaving && !m.worker.Leaving
+	usable = usable && !m.leaving && !m.worker.Leaving && !m.Drained()
 	if m.worker.Usable == usable {
 		return
 	}
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -66,7 +66,14 @@
 		return errkind.Fenced
 	case t.LeftMs <= 0:
 		return errkind.DeadlineExpired
-	case m.worker.Leaving:
+	}
+	return m.closed()
+}
+
+// closed tells why the worker takes no new run, or None.
+func (m *Machine) closed() errkind.Kind {
+	switch {
+	case m.worker.Leaving || m.Drained():
 		return errkind.Draining
 	case !m.worker.Usable:
 		return errkind.NoWorkers
@@ -110,15 +117,13 @@
 		if r.state != awaiting || r.entry != from || r.key.Job != job {
 			continue
 		}
-		switch {
+		switch kind := m.closed(); {
 		case !ok:
 			e := notRun(errkind.Busy)
 			e.NoText = true
 			m.end(now, r, e)
-		case m.worker.Leaving:
-			m.end(now, r, notRun(errkind.Draining))
-		case !m.worker.Usable:
-			m.end(now, r, notRun(errkind.NoWorkers))
+		case kind != errkind.None:
+			m.end(now, r, notRun(kind))
 		default:
 			r.state, r.text, r.ordered = starting, text, now
 			m.orderStart(now, r)
@@ -204,7 +209,7 @@
 	if r == nil || r.answered {
 		return
 	}
-	if a.Verdict == NoAnswer && r.state == starting && r.tries < startTries {
+	if a.Verdict == NoAnswer && r.state == starting && r.tries < startTries && !m.Drained() {
 		// The worker takes a run that is there already, or has been, for the same
 		// one: sent again, it starts now or is found running. A copy that is
 		// carried out seconds later is refused by its number or its lease.
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -65,7 +65,7 @@
 func (m *Machine) describe(rep *Report) {
 	m.worker.Service, m.worker.Domain = rep.Service, rep.Domain
 	m.worker.Rack, m.worker.Labels = rep.Rack, rep.Labels
-	m.worker.Capacity = rep.Capacity
+	m.worker.Capacity, m.worker.Cold = rep.Capacity, rep.Cold
 }
 
 // Left notes that a worker ends, as it has just announced. What runs there may go on
@@ -126,7 +126,7 @@
 	}
 	m.stopStrays(now, a.Active)
 	m.life.probe = m.life.strays
-	m.worker.Usable = !m.life.strays && !m.worker.Leaving
+	m.worker.Usable = !m.life.strays && !m.worker.Leaving && !m.Drained()
 	m.announce(now)
 }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -19,7 +19,7 @@
 // Version is the protocol version that this build speaks; MinVersion is the
 // oldest one that it still understands.
 const (
-	Version    = 3
+	Version    = 4
 	MinVersion = 1
 )
 
@@ -68,6 +68,7 @@
 	Entries     *Entries     `cbor:"32,keyasint,omitempty"`
 	JobQuery    *JobQuery    `cbor:"33,keyasint,omitempty"`
 	JobReport   *JobReport   `cbor:"34,keyasint,omitempty"`
+	Drains      *Drains      `cbor:"35,keyasint,omitempty"`
 }
 
 // Hello opens a link from a guard to an entry and announces its upstream.
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"slices"
+
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/sched"
@@ -40,9 +42,10 @@
 	Rack     string     `cbor:"4,keyasint,omitempty"`
 	Labels   []string   `cbor:"5,keyasint,omitempty"`
 	Capacity sched.Room `cbor:"6,keyasint"`
-	Usable   bool       `cbor:"7,keyasint,omitempty"` // takes new tasks
-	Leaving  bool       `cbor:"8,keyasint,omitempty"` // announced its stop, or its guard did
-	Slow     bool       `cbor:"9,keyasint,omitempty"` // its runs advance much slower than expected
+	Usable   bool       `cbor:"7,keyasint,omitempty"`  // takes new tasks
+	Leaving  bool       `cbor:"8,keyasint,omitempty"`  // announced its stop, or its guard did
+	Slow     bool       `cbor:"9,keyasint,omitempty"`  // its runs advance much slower than expected
+	Cold     bool       `cbor:"10,keyasint,omitempty"` // it says that it is slow for now, after its start or a drain
 }
 
 // RunLoad is a guard's state at one moment, as one entry is told it.
@@ -152,6 +155,19 @@
 	Size   int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Drains lists the failure domains that the operators have asked to drain, as they stood at
+// a revision of the store. A process obeys the highest revision that it has seen.
+type Drains struct {
+	Revision int64    `cbor:"1,keyasint"`           // 0: the sender does not know of drains yet
+	Domains  []string `cbor:"2,keyasint,omitempty"` // sorted
+}
+
+// Has tells whether a failure domain is drained.
+func (d *Drains) Has(domain string) bool { return slices.Contains(d.Domains, domain) }
+
+// Same tells whether both list the same domains, at whatever revision.
+func (d *Drains) Same(o *Drains) bool { return slices.Equal(d.Domains, o.Domains) }
+
 // Entries lists the addresses of entries that the sender has come to know.
 type Entries struct {
 	Addresses []string `cbor:"1,keyasint"`
