--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -52,7 +52,10 @@
 	configMu sync.Mutex
 	version  int64 // in force; 0 before the first
 	document []byte
+	inForce  time.Duration // since when
 	offered  offered
+	drains   entryDrains
+	unknown  []string // keys of orders that this version does not know
 }
 
 // waiter is a caller's request that waits for the answer of a job.
--- a/internal/batchnode/entryconfig.go
+++ b/internal/batchnode/entryconfig.go
@@ -38,17 +38,27 @@
 
 // Offer puts a newer document in force and tells the guards, some of which fetch it and
 // relay it to entries that cannot read the store. An older one is passed over: a
-// process never goes back.
+// process never goes back. Before the first word of drains it is kept for later.
 func (e *Entry) Offer(version int64, document []byte) error {
 	e.configMu.Lock()
 	defer e.configMu.Unlock()
+	return e.offerLocked(version, document)
+}
+
+func (e *Entry) offerLocked(version int64, document []byte) error {
 	if version <= e.version {
 		return nil
 	}
+	if e.drains.known.Revision == 0 {
+		if version > e.drains.pending.Version {
+			e.drains.pending = wire.Desired{Version: version, Document: document}
+		}
+		return nil
+	}
 	if err := e.opt.Apply(version, document); err != nil {
 		return fmt.Errorf("configuration %d: %w", version, err)
 	}
-	e.version, e.document = version, document
+	e.version, e.document, e.inForce = version, document, e.opt.Clock()
 	e.offered.pause = 0
 	e.opt.Metrics.Inc(telemetry.ConfigsApplied)
 	e.opt.Metrics.Set(telemetry.ConfigRevision, version)
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -65,7 +65,8 @@
 
 // open makes a link the current one of its guard and welcomes it.
 func (e *Entry) open(h *wire.RunHello, link wire.Link) {
-	version, _ := e.Config()
+	e.configMu.Lock() // what changes meanwhile is told after the welcome
+	defer e.configMu.Unlock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.unlink(h.Incarnation, "superseded")
@@ -74,9 +75,11 @@
 	e.opt.Metrics.Set(telemetry.Guards, int64(len(e.links)))
 	e.opt.Log.Info("guard linked", "guard", h.Incarnation, "worker", h.Worker.ID, "usable", h.Worker.Usable)
 	e.post(h.Incarnation, &wire.Frame{RunWelcome: &wire.RunWelcome{
-		Version: wire.Version, Incarnation: e.id, Revision: version,
+		Version: wire.Version, Incarnation: e.id, Revision: e.version,
 		Entries: e.known, Software: telemetry.Version,
 	}})
+	drains := e.drains.known
+	e.post(h.Incarnation, &wire.Frame{Drains: &drains}) // before any task
 	e.stepLocked(func(now time.Duration, m *batch.Machine) { m.GuardUp(now, h) })
 }
 
@@ -102,6 +105,10 @@
 		e.fromGuard(h, link, f.Desired)
 		return
 	}
+	if f.Drains != nil {
+		e.drainsFromGuard(link, f.Drains)
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.links[h.Incarnation] != link {
--- a/internal/batchnode/fleet_test.go
+++ b/internal/batchnode/fleet_test.go
@@ -57,7 +57,15 @@
 
 func quiet() *log.Logger { return log.New(io.Discard) }
 
+// entry is an entry that has read that nothing is drained.
 func (f *fleet) entry(address string) *Entry {
+	e := f.entryTurnedAway(address)
+	e.OfferDrains(&wire.Drains{Revision: 1})
+	return e
+}
+
+// entryTurnedAway is an entry that the store has told nothing.
+func (f *fleet) entryTurnedAway(address string) *Entry {
 	e := NewEntry(EntryOptions{
 		Name: "entry", Address: address, Clock: f.clock, Metrics: telemetry.New(), Log: quiet(),
 		Apply: func(version int64, _ []byte) error {
--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -70,12 +70,15 @@
 	alarm    *alarm
 	version  int64 // newest configuration that was seen
 	document []byte
-	newest   int64         // configuration that some entry has told of
-	asking   bool          // one of them is, or will be, asked for it
-	changed  chan struct{} // signalled after each step, for Drain
-	reported bool          // the worker has reported to this process
+	drains   wire.Drains              // Revision is 0 before an entry has told of them
+	drained  map[string]time.Duration // since when each of them has been known
+	newest   int64                    // configuration that some entry has told of
+	asking   bool                     // one of them is, or will be, asked for it
+	changed  chan struct{}            // signalled after each step, for Drain
+	reported bool                     // the worker has reported to this process
 	unsaved  chan *runs.Report
 	kept     *runs.Report // last one that was, or is to be, saved
+	emptied  bool         // the last run of a drained worker has ended
 	work     sync.WaitGroup
 }
 
@@ -131,6 +134,7 @@
 	for _, a := range g.machine.Actions(now) {
 		g.carryOut(&a)
 	}
+	g.noteDrained()
 	if w := g.machine.Worker(); w.ID != before.ID || w.Usable != before.Usable || w.Leaving != before.Leaving {
 		g.opt.Log.Info("worker changed", "worker", w.ID, "usable", w.Usable, "leaving", w.Leaving, "cpu", w.Capacity.CPU)
 	}
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -48,6 +48,7 @@
 	version int64 // of the configuration that the entry has
 	asks    bool  // the entry asks for a newer configuration when it is told of one
 	copy    inCopy
+	drains  wire.Drains // that the entry has told of, or was told
 }
 
 // AddEntries begins to link to addresses that are not linked to yet.
@@ -221,6 +222,8 @@
 		g.stepLocked(func(now time.Duration, m *runs.Machine) { m.Beat(now, l.entry, f.EntryBeat) })
 	case f.Desired != nil:
 		g.takeConfig(l, f.Desired)
+	case f.Drains != nil:
+		g.takeDrains(l, f.Drains)
 	case f.JobQuery != nil:
 		g.relayQuery(l, f.JobQuery)
 	case f.JobReport != nil:
--- a/internal/batchnode/returns_test.go
+++ b/internal/batchnode/returns_test.go
@@ -54,8 +54,8 @@
 func keepList(ctx context.Context, s *listStore) (knownAt func(entries int) time.Duration) {
 	began, known := time.Now(), make(map[int]time.Duration)
 	returns := new(StoreReturns)
-	source := Source{Store: s, Key: "config", Log: quiet(), Returns: returns}
-	go source.Follow(ctx, func(int64, []byte) error { return nil })
+	source := Source{Store: s, Prefix: "op/", Key: "op/config", Drains: "op/drain/", Log: quiet(), Metrics: telemetry.New(), Returns: returns}
+	go source.Follow(ctx, new(takenOrders))
 	list := Listing{Store: s, Prefix: "e/", Log: quiet(), Metrics: telemetry.New(), Returns: returns}
 	go list.Keep(ctx, func(addresses []string) {
 		if _, ok := known[len(addresses)]; !ok {
@@ -148,6 +148,7 @@
 			return frame
 		}
 		f.Assert(next().RunWelcome.Entries, qt.DeepEquals, []string{"a"})
+		f.Assert(next().Drains.Revision, qt.Equals, int64(1))
 		e.SetEntries([]string{"a", "b"})
 		f.Check(next().Entries.Addresses, qt.DeepEquals, []string{"b"})
 		e.SetEntries([]string{"a"})
--- /dev/null
+++ b/internal/batchnode/status.go
@@ -0,0 +1,115 @@
+package batchnode
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"wigeontray/internal/identity"
+)
+
+// StatusPath is where a process tells operators of itself.
+const StatusPath = "/v1/status"
+
+// ConfigStatus is the configuration that a process has.
+type ConfigStatus struct {
+	Version  int64   `json:"version"`              // 0 before the first
+	InForceS float64 `json:"in_force_s,omitempty"` // seconds
+}
+
+// DrainsStatus is what a process knows of the operators' drains.
+type DrainsStatus struct {
+	Revision int64         `json:"revision"` // of the store; 0: no word of them yet
+	Domains  []DrainStatus `json:"domains"`
+}
+
+// DrainStatus is one drained failure domain.
+type DrainStatus struct {
+	Domain  string  `json:"domain"`
+	KnownS  float64 `json:"known_s,omitempty"` // for how many seconds this process has known
+	Workers int     `json:"workers,omitempty"` // that an entry knows there
+}
+
+// EntryStatus is the state of an entry.
+type EntryStatus struct {
+	Incarnation   identity.Incarnation `json:"incarnation"`
+	Config        ConfigStatus         `json:"configuration"`
+	Drains        DrainsStatus         `json:"drains"`
+	UnknownOrders []string             `json:"unknown_orders"` // keys
+	Guards        int                  `json:"guards"`
+	Workers       int                  `json:"usable_workers"`
+	Jobs          int                  `json:"open_jobs"`
+}
+
+// Status gives the state of the entry.
+func (e *Entry) Status() EntryStatus {
+	e.configMu.Lock()
+	defer e.configMu.Unlock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.opt.Clock()
+	jobs, _ := e.machine.Jobs("")
+	s := EntryStatus{
+		Incarnation: e.id, Config: ConfigStatus{Version: e.version},
+		Drains:        DrainsStatus{Revision: e.drains.known.Revision, Domains: []DrainStatus{}},
+		UnknownOrders: append([]string{}, e.unknown...),
+		Guards:        len(e.links), Workers: e.machine.Workers(), Jobs: jobs,
+	}
+	if e.version > 0 {
+		s.Config.InForceS = (now - e.inForce).Seconds()
+	}
+	for _, d := range e.drains.known.Domains {
+		s.Drains.Domains = append(s.Drains.Domains, DrainStatus{Domain: d, KnownS: (now - e.drains.since[d]).Seconds(), Workers: e.machine.WorkersIn(d)})
+	}
+	return s
+}
+
+// GuardStatus is the state of a guard.
+type GuardStatus struct {
+	Incarnation identity.Incarnation `json:"incarnation"`
+	Config      ConfigStatus         `json:"configuration"`
+	Drains      DrainsStatus         `json:"drains"`
+	Entries     int                  `json:"entries"`
+	Worker      string               `json:"worker"` // empty while there is none
+	Domain      string               `json:"domain"`
+	Usable      bool                 `json:"usable"`
+	Drained     bool                 `json:"drained"`
+	Runs        int                  `json:"runs"`
+}
+
+// Status gives the state of the guard.
+func (g *Guard) Status() GuardStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.machine.Worker()
+	s := GuardStatus{
+		Incarnation: g.id, Config: ConfigStatus{Version: g.version},
+		Drains:  DrainsStatus{Revision: g.drains.Revision, Domains: []DrainStatus{}},
+		Entries: len(g.links), Worker: w.ID, Domain: w.Domain, Usable: w.Usable,
+		Drained: g.machine.Drained(), Runs: g.machine.Running(),
+	}
+	for _, d := range g.drains.Domains {
+		s.Drains.Domains = append(s.Drains.Domains, DrainStatus{Domain: d, KnownS: (g.opt.Clock() - g.drained[d]).Seconds()})
+	}
+	return s
+}
+
+// since keeps when each domain of a list was first known to be drained.
+func since(before map[string]time.Duration, domains []string, now time.Duration) map[string]time.Duration {
+	after := make(map[string]time.Duration, len(domains))
+	for _, d := range domains {
+		after[d] = now
+		if at, known := before[d]; known {
+			after[d] = at
+		}
+	}
+	return after
+}
+
+// ServeStatus answers with the state that of returns, as JSON.
+func ServeStatus[T any](of func() T) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(of()) // an operator who has left needs no answer
+	})
+}
--- a/internal/batchnode/upkeep.go
+++ b/internal/batchnode/upkeep.go
@@ -11,7 +11,6 @@
 
 	"github.com/charmbracelet/log"
 
-	"wigeontray/internal/pause"
 	"wigeontray/internal/store"
 	"wigeontray/internal/telemetry"
 )
@@ -27,84 +26,6 @@
 	storePause = 400 * time.Millisecond
 )
 
-// Source is where the operators' configuration is followed.
-type Source struct {
-	Store store.Store
-	Key   string // that holds the whole configuration
-	// Version reads a document's version.
-	Version func(document []byte) (int64, error)
-	Log     *log.Logger
-	Returns *StoreReturns // told when the store answers again; may be nil
-}
-
-// Follow offers each version of the configuration until ctx ends.
-func (s *Source) Follow(ctx context.Context, offer func(version int64, document []byte) error) {
-	up := true
-	answered := func() {
-		if !up {
-			s.Returns.announce()
-		}
-		s.logChange(&up, true, nil)
-	}
-	for ctx.Err() == nil {
-		err := s.followOnce(ctx, offer, answered)
-		if err != nil && ctx.Err() == nil {
-			s.logChange(&up, errors.Is(err, store.ErrCompacted), err)
-			pause.For(ctx, spread(storePause))
-		}
-	}
-}
-
-func (s *Source) logChange(up *bool, now bool, err error) {
-	if *up == now {
-		return
-	}
-	*up = now
-	if now {
-		s.Log.Info("store answers again")
-		return
-	}
-	s.Log.Warn("store does not answer", "err", err)
-}
-
-func (s *Source) followOnce(ctx context.Context, offer func(int64, []byte) error, answered func()) error {
-	kvs, revision, err := s.Store.Range(ctx, s.Key)
-	if err != nil {
-		return fmt.Errorf("read configuration: %w", err)
-	}
-	answered()
-	for _, kv := range kvs {
-		s.offer(kv, offer)
-	}
-	out := make(chan store.Batch, 1)
-	failed := make(chan error, 1)
-	go func() { failed <- s.Store.Watch(ctx, s.Key, revision, out) }()
-	for b := range out {
-		for _, e := range b.Events {
-			if !e.Deleted {
-				s.offer(e.KV, offer)
-			}
-		}
-	}
-	if err := <-failed; err != nil {
-		return fmt.Errorf("watch configuration: %w", err)
-	}
-	return nil
-}
-
-func (s *Source) offer(kv store.KV, offer func(int64, []byte) error) {
-	if kv.Key != s.Key {
-		return
-	}
-	version, err := s.Version(kv.Value)
-	if err == nil {
-		err = offer(version, kv.Value)
-	}
-	if err != nil {
-		s.Log.Error("configuration refused, the last one stays in force", "revision", kv.ModRevision, "err", err)
-	}
-}
-
 // Registration keeps an entry's address in the store.
 type Registration struct {
 	Store   store.Store
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -35,6 +35,7 @@
 	ConfigsApplied
 	ForeignItems
 	CallersGone
+	OrdersUnknown
 	counterCount
 )
 
@@ -52,6 +53,7 @@
 	RosterVersion
 	Waiters
 	LinkRate
+	DomainsDrained
 	gaugeCount
 )
 
@@ -118,6 +120,7 @@
 	FramesRefused:    {Name: "wigeontray_frames_refused_total", Help: "Frames that their sender may not send: of a guard whose key is not verified yet, of the other kind of link, or about another member's job. They had no effect."},
 	ConfigsApplied:   {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
 	ForeignItems:     {Name: "wigeontray_foreign_items_total", Help: "Reports of workers, stored reports and listed addresses that are not of the expected form; they were passed over."},
+	OrdersUnknown:    {Name: "wigeontray_orders_unknown_total", Help: "Orders of the operators that were read and that this version has no meaning for; the log names their keys."},
 	CallersGone:      {Name: "wigeontray_callers_gone_total", Help: "Requests that were read after their caller had ended the connection; nothing was started for them."},
 }
 
@@ -130,6 +133,7 @@
 	JobsHeld:       {Name: "wigeontray_jobs_held", Help: "Job records held for resubmissions."},
 	RosterVersion:  {Name: "wigeontray_roster_version", Help: "Version of the newest roster known."},
 	Waiters:        {Name: "wigeontray_waiters", Help: "Callers' requests open now."},
+	DomainsDrained: {Name: "wigeontray_domains_drained", Help: "Failure domains that the operators drain, as far as this process knows."},
 	LinkRate:       {Name: "wigeontray_link_bytes_per_second", Help: "Bandwidth from this entry to its guards in bytes a second, once it has been found to be thin; 0 before."},
 }
 
