runs: a worker's capacity may shrink and grow while it runs

Cause: a changed capacity was taken over in silence: entries kept the old one until the next end of a run, offers against the old room stood, a task whose text was awaited began after its room was gone (order 1209 of the new exhaustive test), and a start without an answer was repeated over a capacity that had shrunk since. A guard that had just started began with the stored report of its predecessor, whose capacity may be too large. Change: the first report with another capacity takes offers back, gives back what is not at the worker and does not fit any more, and is told to all entries at once. Until the worker's own first report a recalled capacity is used only for services whose workers refuse by themselves what does not fit (admission control in the configuration). A report may say that no capacity is left; a negative, missing or absurd one is passed over. Result: TestCapacityIsNeverExceededInAnyOrder (28,561 orders of 13 events) and the two beside it, red before.

--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -28,6 +28,8 @@
 	Service     string // whose workers run its tasks
 	Priority    int    // 0 goes first
 	MaxAttempts int    // runs of a task that may fail before its job has failed
+	// SelfLimiting tells that the service's workers refuse by themselves what does not fit.
+	SelfLimiting bool
 	// Stretch and Slack give the time in which a job should end: Stretch times
 	// its longest chain of tasks, and Slack more.
 	Stretch float64
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -219,6 +219,7 @@
 	run := &wire.RunTasks{
 		Seq: at.seq, ClockMs: at.clockMs(now), Job: j.spec.ID,
 		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks, Want: want, Request: j.spec.Request,
+		SelfLimiting: j.spec.Queue.SelfLimiting,
 	}
 	m.addText(j, at, run)
 	sent := m.frame(now, at, &wire.Frame{RunTasks: run})
--- a/internal/batchnode/memory.go
+++ b/internal/batchnode/memory.go
@@ -63,7 +63,7 @@
 			return // the worker's own word is newer
 		}
 		g.opt.Log.Info("beginning with the last report of the worker", "worker", rep.ID)
-		rep.Seq = 0
+		rep.Seq, rep.Recalled = 0, true
 		m.Heard(now, rep)
 	})
 }
@@ -133,6 +133,9 @@
 	if err == nil {
 		err = rep.Check()
 	}
+	if err == nil && (rep.Capacity.CPU == 0 || rep.Capacity.MemoryMB == 0) {
+		err = errors.New("report without capacity")
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: last report: %w", ErrForeign, err)
 	}
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -49,11 +49,22 @@
 	Labels   []string
 	Capacity sched.Room
 	Cold     bool // it is slow for now, after its start or a drain
+	// Recalled tells that an earlier guard was given the report: the capacity may have
+	// shrunk since.
+	Recalled bool `json:"-"`
 }
 
+// Bounds of a capacity that is believed.
+const (
+	mostCPU      = 1 << 30 // thousandths of a core
+	mostMemoryMB = 1 << 30
+	mostGPUs     = 1 << 16
+)
+
 // Check tells why a report names no worker to use, or nil. Another writer may have
 // made it: without a clock, its worker would get a fencing token below those of earlier
-// guards, and without a capacity it would look full for as long as it lives.
+// guards, and a capacity that is not to be believed would free room that is not there.
+// A worker may have no capacity left for a while.
 func (r *Report) Check() error {
 	switch {
 	case r.ID == "":
@@ -66,7 +77,8 @@
 		return fmt.Errorf("report with number %d", r.Seq)
 	case r.ClockMs <= 0:
 		return fmt.Errorf("report with a clock of %d ms", r.ClockMs)
-	case r.Capacity.CPU <= 0 || r.Capacity.MemoryMB <= 0 || r.Capacity.GPUs < 0:
+	case r.Capacity.CPU < 0 || r.Capacity.MemoryMB < 0 || r.Capacity.GPUs < 0,
+		r.Capacity.CPU > mostCPU || r.Capacity.MemoryMB > mostMemoryMB || r.Capacity.GPUs > mostGPUs:
 		return fmt.Errorf("report with a capacity of %+v", r.Capacity)
 	}
 	return nil
--- /dev/null
+++ b/internal/runs/exhaustive_test.go
@@ -0,0 +1,226 @@
+package runs
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/errkind"
+	"wigeontray/internal/identity"
+	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
+)
+
+// world is a guard with two entries and a worker whose capacity changes. It keeps its own book
+// of what may be at the worker, from the orders alone.
+type world struct {
+	*rig
+	capacity int64 // in the newest valid report
+	seq      int64
+	at       map[Key]int64   // processor of what may be at the worker
+	asked    []Key           // starts without an answer, the oldest first
+	text     map[string]bool // jobs whose text is to be fetched
+	listed   int64
+	sent     int
+	broken   string
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{rig: newRig(t), capacity: 8000, seq: 1, at: make(map[Key]int64), text: make(map[string]bool)}
+	w.m.LinkUp(w.now, otherEntry)
+	w.settle()
+	return w
+}
+
+// settle takes the actions and checks each start.
+func (w *world) settle() {
+	for _, a := range w.actions() {
+		switch {
+		case a.Fetch != nil:
+			w.text[a.Fetch.Job] = true
+		case a.Start != nil:
+			w.at[a.Start.Key] = taskCPU
+			w.asked = append(w.asked, a.Start.Key)
+			if len(w.at)*taskCPU > int(w.capacity) {
+				w.broken = "a start brings the worker over its capacity"
+			}
+		}
+	}
+}
+
+const taskCPU = 3000
+
+// sendTasks sends two tasks for an entry, with their text or without.
+func (w *world) sendTasks(from identity.Incarnation, source string) {
+	w.sent++
+	w.rig.seq++
+	t := &wire.RunTasks{Seq: w.rig.seq, ClockMs: w.now.Milliseconds(), Job: strings.Repeat("j", w.sent), Source: source, LeftMs: 5000}
+	for i := range 2 {
+		t.Tasks = append(t.Tasks, wire.RunTask{Index: i, Run: 1, Need: sched.Room{CPU: taskCPU}})
+	}
+	w.m.Run(w.now, from, t)
+}
+
+// reportCapacity lets the worker tell its capacity, in thousandths of a core.
+func (w *world) reportCapacity(cpu int64) {
+	w.seq++
+	w.capacity = cpu
+	rep := w.report(testWorker, w.seq)
+	rep.Capacity.CPU = cpu
+	w.m.Heard(w.now, rep)
+}
+
+func (w *world) answer(v Verdict) {
+	if len(w.asked) == 0 {
+		return
+	}
+	k := w.asked[0]
+	w.asked = w.asked[1:]
+	if v == NoRoom {
+		delete(w.at, k)
+	}
+	w.started(k, v)
+}
+
+// list lets the oldest run end at the worker.
+func (w *world) list() {
+	a := HoldAnswer{}
+	for k := range w.at {
+		a.Active = append(a.Active, Active{Key: k, Percent: 50})
+	}
+	if len(a.Active) > 0 {
+		w.listed++
+		k := a.Active[0].Key
+		for _, o := range a.Active {
+			if o.Key.compare(k) < 0 {
+				k = o.Key
+			}
+		}
+		a.Ended = []Ended{{Number: w.listed, Key: k}}
+		delete(w.at, k)
+	}
+	w.held(testWorker, a)
+}
+
+// worldEvents are what may happen, in any order.
+var worldEvents = []func(w *world){
+	func(w *world) { w.sendTasks(testEntry, "") },
+	func(w *world) { w.sendTasks(otherEntry, "guard-2") },
+	func(w *world) { w.reportCapacity(2000) },
+	func(w *world) { w.reportCapacity(7000) },
+	func(w *world) { w.reportCapacity(13000) },
+	func(w *world) { // a report that was held up
+		rep := w.report(testWorker, w.seq-1)
+		rep.Capacity.CPU = 64000
+		w.m.Heard(w.now, rep)
+	},
+	func(w *world) { w.answer(Done) },
+	func(w *world) { w.answer(NoAnswer) },
+	func(w *world) { w.answer(NoRoom) },
+	(*world).list,
+	func(w *world) {
+		for job := range w.text {
+			delete(w.text, job)
+			w.m.Fetched(w.now, otherEntry, job, "text", true)
+		}
+	},
+	func(w *world) {
+		w.want(otherEntry, wire.RunWant{CPU: 2 * taskCPU, LeastCPU: taskCPU, UrgentCPU: taskCPU})
+	},
+	func(w *world) { w.m.StopJob(w.now, testEntry, &wire.StopRuns{ClockMs: w.now.Milliseconds(), Job: "j"}) },
+}
+
+// worldSteps is how many events are played in each order.
+const worldSteps = 4
+
+// Guards against a start that brings a worker over a capacity that has shrunk, with offers,
+// starts, stops and reports in every order.
+func TestCapacityIsNeverExceededInAnyOrder(t *testing.T) {
+	orders := 1
+	for range worldSteps {
+		orders *= len(worldEvents)
+	}
+	for order := range orders {
+		w := newWorld(t)
+		for n := order; n > 0; n /= len(worldEvents) {
+			w.now += time.Millisecond
+			worldEvents[n%len(worldEvents)](w)
+			w.settle()
+		}
+		if w.broken != "" {
+			t.Fatalf("order %d: %s", order, w.broken)
+		}
+	}
+}
+
+// Guards against capacity that has grown and stays unused until the next end of a run, and
+// against entries that go by the old one.
+func TestChangedCapacityIsToldAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.want(otherEntry, wire.RunWant{CPU: 4 * taskCPU, LeastCPU: taskCPU, UrgentCPU: taskCPU})
+	w.settle()
+	w.reportCapacity(20000)
+	offered := int64(0)
+	told := make(map[identity.Incarnation]int64)
+	for _, a := range w.actions() {
+		if a.Send == nil || a.Send.Frame.GuardBeat == nil {
+			continue
+		}
+		if worker := a.Send.Frame.GuardBeat.Worker; worker != nil {
+			told[a.Send.To] = worker.Capacity.CPU
+		}
+		if a.Send.To == otherEntry {
+			offered = a.Send.Frame.GuardBeat.Load.Free.CPU
+		}
+	}
+	w.Check(told[testEntry], qt.Equals, int64(20000))
+	w.Check(told[otherEntry], qt.Equals, int64(20000))
+	w.Check(offered >= 4*taskCPU, qt.IsTrue, qt.Commentf("%d", offered))
+}
+
+// Guards against reports that would free room which is not there.
+func TestCapacityThatIsNotToBeBelievedIsRefused(t *testing.T) {
+	good := (&rig{}).report(testWorker, 1)
+	good.Domain = "z1"
+	good.ClockMs = 1
+	qt.Check(t, good.Check(), qt.IsNil)
+	for _, c := range []sched.Room{{CPU: -1, MemoryMB: 1}, {CPU: 1 << 40, MemoryMB: 1}, {CPU: 1, MemoryMB: -1}, {CPU: 1, MemoryMB: 1 << 50}, {CPU: 1, MemoryMB: 1, GPUs: -1}} {
+		rep := *good
+		rep.Capacity = c
+		qt.Check(t, rep.Check(), qt.IsNotNil, qt.Commentf("%+v", c))
+	}
+	empty := *good
+	empty.Capacity = sched.Room{}
+	qt.Check(t, empty.Check(), qt.IsNil)
+}
+
+// Guards against a guard that has just started and goes by a capacity that has shrunk since its
+// predecessor was told of it.
+func TestRecalledCapacityIsNotTrusted(t *testing.T) {
+	r := &rig{C: qt.New(t), m: New(Options{}), now: time.Minute}
+	r.m.LinkUp(r.now, testEntry)
+	rep := r.report(testWorker, 0)
+	rep.Recalled = true
+	r.m.Heard(r.now, rep)
+	r.hold()
+	r.held(testWorker, HoldAnswer{})
+	r.Check(r.m.Worker().Usable, qt.IsTrue)
+	r.actions()
+	r.send(r.now, 1)
+	got := sortOut(r.actions())
+	r.Check(got.starts, qt.HasLen, 0)
+	r.Assert(got.ends, qt.HasLen, 1)
+	r.Check(got.ends[0].Kind, qt.Equals, errkind.Busy)
+	// A worker that refuses what does not fit needs no such care.
+	r.seq++
+	r.m.Run(r.now, testEntry, &wire.RunTasks{
+		Seq: r.seq, ClockMs: r.now.Milliseconds(), Job: "job", Text: "text", LeftMs: 5000, SelfLimiting: true,
+		Tasks: []wire.RunTask{{Index: 2, Run: 1, Need: sched.Room{CPU: 3000}}},
+	})
+	r.Check(sortOut(r.actions()).starts, qt.DeepEquals, []Key{key(2)})
+	r.m.Heard(r.now, r.report(testWorker, 1))
+	r.send(r.now, 3)
+	r.Check(sortOut(r.actions()).starts, qt.DeepEquals, []Key{key(3)})
+}
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -66,6 +66,8 @@
 		return errkind.Fenced
 	case t.LeftMs <= 0:
 		return errkind.DeadlineExpired
+	case m.life.recalled && !t.SelfLimiting:
+		return errkind.Busy // its capacity is not known for sure
 	}
 	return m.closed()
 }
@@ -124,6 +126,8 @@
 			m.end(now, r, e)
 		case kind != errkind.None:
 			m.end(now, r, notRun(kind))
+		case m.overfull():
+			m.end(now, r, notRun(errkind.Busy))
 		default:
 			r.state, r.text, r.ordered = starting, text, now
 			m.orderStart(now, r)
@@ -209,7 +213,7 @@
 	if r == nil || r.answered {
 		return
 	}
-	if a.Verdict == NoAnswer && r.state == starting && r.tries < startTries && !m.Drained() {
+	if a.Verdict == NoAnswer && r.state == starting && r.tries < startTries && !m.Drained() && !m.overfull() {
 		// The worker takes a run that is there already, or has been, for the same
 		// one: sent again, it starts now or is found running. A copy that is
 		// carried out seconds later is refused by its number or its lease.
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -19,6 +19,7 @@
 	leaseEnd time.Duration // when what runs there has ended without another order
 	strays   bool          // runs of an earlier guard may be there
 	left     bool          // it has announced its end, and may run on for a moment
+	recalled bool          // it has not reported to this guard yet
 
 	holding  bool // a Hold is under way
 	holdSent time.Duration
@@ -47,9 +48,14 @@
 	if rep.Seq <= m.life.seq {
 		return
 	}
-	m.life.seq = rep.Seq
+	m.life.seq, m.life.recalled = rep.Seq, false
 	m.noteClock(now, rep.ClockMs)
+	before := m.worker
 	m.describe(rep)
+	m.noteCapacity(now, before.Capacity)
+	if m.worker.Capacity != before.Capacity || m.worker.Cold != before.Cold {
+		m.announce(now)
+	}
 	if rep.Draining && !m.worker.Leaving {
 		m.worker.Leaving, m.worker.Usable = true, false
 		m.announce(now)
@@ -117,7 +123,7 @@
 	rep, token := m.next, m.life.token
 	m.next = nil
 	m.endLife(now)
-	m.life = life{id: rep.ID, seq: rep.Seq, token: token}
+	m.life = life{id: rep.ID, seq: rep.Seq, token: token, recalled: rep.Recalled}
 	m.worker = wire.RunWorker{ID: rep.ID, Leaving: m.leaving || rep.Draining}
 	m.describe(rep)
 	m.noteClock(now, a.ClockMs)
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -75,6 +75,9 @@
 	Source string `cbor:"10,keyasint,omitempty"`
 	// Keep asks the guard to have the text ready for others.
 	Keep bool `cbor:"11,keyasint,omitempty"`
+	// SelfLimiting tells that the workers of the service refuse by themselves what does not
+	// fit.
+	SelfLimiting bool `cbor:"12,keyasint,omitempty"`
 }
 
 // RunWant tells a guard what an entry's tasks that wait would take. The zero value
