runs, batch: a task under which two workers have crashed is given up

Cause: nothing attributed a worker's crash, so that a task that crashes each worker went on from worker to worker until its caller left. Change: a crash is a new life at the worker, or a silent one at whose address nothing listens, without an announced end. Suspects run apart from each other, so that the second crash tells the cause. The second one fails the job. Other entries hear of the blamed tasks, so that the count survives a resend. A crash is no mark against the worker. Also: a need that no worker can meet is called hopeless by the largest capacity that workers had, as one that has shrunk may grow again.

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -122,7 +122,7 @@
 }
 
 // count counts the workers that could run a task now, ever, and those of its
-// service.
+// service. A worker whose capacity has shrunk may get it back.
 func (m *Machine) count(ask *sched.Ask) (usable, suited, there int) {
 	for i := range m.view {
 		v := &m.view[i]
@@ -130,11 +130,13 @@
 			continue
 		}
 		there++
-		if !v.Suits(ask) {
+		whole := *v
+		whole.Capacity = m.sites[i].most
+		if !whole.Suits(ask) {
 			continue
 		}
 		suited++
-		if v.State == sched.Usable {
+		if v.State == sched.Usable && v.Suits(ask) {
 			usable++
 		}
 	}
--- a/internal/batch/load_test.go
+++ b/internal/batch/load_test.go
@@ -57,6 +57,8 @@
 	slow   int  // workers that turn slow after a quarter of the length, for half of it
 	hang   int  // workers whose tasks stand still for that time
 	drain  bool // one of the two failure domains is drained for that time
+	crash  int  // jobs that crash each worker which starts a task of them
+	flap   int  // workers that crash by themselves every flapEvery for half of the length
 	// unanswered is the part of the orders to workers without an answer, from a quarter
 	// of the length on, for half of it.
 	unanswered float64
@@ -95,6 +97,11 @@
 	busy   float64 // part of the workers' room that was at work
 	wasted float64 // part of the work done that served no caller in time
 	broken []string
+
+	crashes   int           // of workers
+	wronged   int           // jobs that were told to have failed, and would not have
+	convicted int           // jobs that crash workers and were told to have failed
+	toldAfter time.Duration // on average
 }
 
 // served is the mean share of the kinds that was served in time.
@@ -147,15 +154,49 @@
 		s.at(start+l.length/4, func() { s.drain("d0") })
 		s.at(start+3*l.length/4, func() { s.drain() })
 	}
+	l.crashSome(s, start, r, mix)
+	for i := range l.flap {
+		for at := start + l.length/4; at < start+3*l.length/4; at += flapEvery {
+			s.at(at, func() { s.workers[i].crash(flapEvery / 2) })
+		}
+	}
 	s.at(start+l.length/4, func() { s.faults.lateOrder = l.unanswered })
 	s.at(start+3*l.length/4, func() { s.faults.lateOrder = 0 })
 	s.run(start + l.length + 6*time.Second)
+	r.crashes = s.counts.crashes
+	for _, j := range s.jobs {
+		if j.failed && !j.crashes {
+			r.wronged++
+		}
+	}
 	r.busy = s.worked / (l.length.Seconds() * loadRoom)
 	r.wasted = s.wasted / s.worked
 	r.broken = s.broken
 	return r
 }
 
+// flapEvery is the time between two crashes of a worker that flaps.
+const flapEvery = 1300 * time.Millisecond
+
+// crashSome sends jobs that crash workers, spread over the length.
+func (l load) crashSome(s *sim, start time.Duration, r *loadResult, mix []requestKind) {
+	for n := range l.crash {
+		at := start + l.length*time.Duration(n+1)/time.Duration(l.crash+1)
+		s.at(at, func() {
+			step, took := s.sample(&mix[n%len(mix)])
+			j := &simJob{id: fmt.Sprintf("c%015x", n), steps: []batch.Step{step}, began: s.now, queue: mix[n%len(mix)].queue, took: took, text: "x", crashes: true, crashed: make(map[string]int), again: make(map[string]int)}
+			s.jobs[j.id] = j
+			j.told = func(out *batch.Outcome) {
+				if out.Err != nil && batch.HasFailed(out.Err) {
+					r.convicted++
+					r.toldAfter += (s.now - j.began) / time.Duration(l.crash)
+				}
+			}
+			s.submit(j, mix[n%len(mix)].patience)
+		})
+	}
+}
+
 // arrive lets requests come at random moments from start on. ask is told the kind of each.
 func (l load) arrive(s *sim, start time.Duration, mix []requestKind, ask func(which int)) {
 	shares, work := 0.0, 0.0
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -9,6 +9,7 @@
 
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
+	"wigeontray/internal/policy"
 	"wigeontray/internal/runs"
 	"wigeontray/internal/sched"
 	"wigeontray/internal/wire"
@@ -21,6 +22,8 @@
 	step *step
 	site *site
 	lost time.Duration // when it has ended for sure, if its guard was lost; else 0
+	// suspect tells that the task has run under a worker's crash.
+	suspect bool
 }
 
 // flightsInOrder gives the flights in a fixed order, so that the same events lead
@@ -47,6 +50,7 @@
 	flights map[runs.Key]*flight
 	learned map[string]*sched.Ratio // by queue
 	past    *past
+	crashes *crashCounts
 	seq     uint64
 	urgent  map[string]urgency // by service
 	anyLost bool               // a guard with flights was lost
@@ -74,6 +78,7 @@
 		learned: make(map[string]*sched.Ratio),
 		urgent:  make(map[string]urgency),
 		past:    newPast(remembered),
+		crashes: newCrashCounts(remembered),
 	}
 }
 
@@ -161,6 +166,9 @@
 	m.noteUrgency(now, spec.Queue)
 	chain := m.chain(spec)
 	wait := m.wait(spec)
+	if err := m.givenUp(spec); err != nil {
+		return err
+	}
 	if err := m.admit(now, spec, chain, wait); err != nil {
 		return err
 	}
@@ -224,6 +232,9 @@
 	if e.Ran != errkind.RanNo {
 		f.job.ran = true
 	}
+	if e.Crashed && !m.opt.Off.Has(policy.CrashLimit) {
+		m.crashes.add(nameOf(f.key))
+	}
 	if f.job.done {
 		return
 	}
@@ -245,6 +256,9 @@
 
 func (m *Machine) forget(f *flight) {
 	delete(m.flights, f.key)
+	if f.suspect {
+		f.site.suspects--
+	}
 	f.job.flights = slices.DeleteFunc(f.job.flights, func(o *flight) bool { return o == f })
 }
 
@@ -265,7 +279,11 @@
 func (m *Machine) taskEnded(now time.Duration, f *flight, e *wire.RunEnd) {
 	j, t := f.job, &f.step.tasks[f.key.Index]
 	j.note(Event{At: now, What: RunEnded, Guard: f.site.guard, Tasks: 1, Kind: e.Kind, Free: f.site.free.CPU})
+	t.crashes = m.crashes.of(nameOf(f.key))
 	switch {
+	case t.crashes >= mostCrashes:
+		m.fail(now, j, errCrashes(f.key.Step, f.key.Index, t.crashes))
+		return
 	case e.Renumber:
 		t.run += renumberBy
 	case e.Kind == errkind.TimedOut:
@@ -289,6 +307,11 @@
 		j.again(f.step, f.key.Index)
 		m.enqueue(j)
 		return
+	case e.Kind == errkind.Busy && t.crashes > 0:
+		m.avoid(f, t) // there may be room, and another suspect
+		j.again(f.step, f.key.Index)
+		m.enqueue(j)
+		return
 	case e.Kind == errkind.Busy:
 		// The guard has told what is free there; the task waits or goes elsewhere.
 		j.again(f.step, f.key.Index)
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -164,10 +164,11 @@
 	if !m.opt.Off.Has(policy.OwnDomain) {
 		ask.Domain = m.opt.Domain
 	}
-	if s.spec.PerWorker > 0 || len(t.avoid) > 0 {
+	if s.spec.PerWorker > 0 || len(t.avoid) > 0 || t.crashes > 0 {
 		ask.Avoid = func(i int) bool {
 			at := m.sites[i]
-			return s.spec.PerWorker > 0 && s.at[at] >= s.spec.PerWorker || slices.Contains(t.avoid, at)
+			return s.spec.PerWorker > 0 && s.at[at] >= s.spec.PerWorker || slices.Contains(t.avoid, at) ||
+				t.crashes > 0 && at.suspects > 0 && !m.opt.Off.Has(policy.SuspectsApart)
 		}
 	}
 	for _, b := range batches {
@@ -190,7 +191,10 @@
 	t := &s.tasks[index]
 	t.run++
 	k := runs.Key{Job: j.spec.ID, Step: s.number, Index: index, Run: t.run}
-	m.flights[k] = &flight{key: k, job: j, step: s, site: at}
+	m.flights[k] = &flight{key: k, job: j, step: s, site: at, suspect: t.crashes > 0}
+	if t.crashes > 0 {
+		at.suspects++
+	}
 	j.flights = append(j.flights, m.flights[k])
 	s.at[at]++
 	j.waiting--
@@ -203,6 +207,7 @@
 	return wire.RunTask{
 		Step: s.number, Index: index, Run: t.run, Need: s.spec.Need,
 		ExpectMs: m.expect(j.spec.Queue, s.spec).Milliseconds(), Moved: t.moved,
+		Crashes: t.crashes,
 	}
 }
 
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -51,13 +51,14 @@
 	failRun    float64 // a run fails
 }
 
-type simCounts struct{ sent, complete, failed, refused, unknown, starts, fetched int }
+type simCounts struct{ sent, complete, failed, refused, unknown, starts, fetched, crashes int }
 
 type simJob struct {
 	id      string
 	steps   []batch.Step
 	began   time.Duration
 	ended   bool
+	failed  bool // it was told so
 	refused bool // every answer said that it has not run
 	doubt   bool // an attempt ended without a final answer
 	started bool // a task of it was started at a worker
@@ -67,6 +68,10 @@
 	text   string               // what its tasks are; "x" if empty
 	worked float64              // in cores times seconds
 	told   func(*batch.Outcome) // is given its answer; may be nil
+
+	crashes bool           // each worker that starts the first task of a step of it
+	crashed map[string]int // workers so far, by task
+	again   map[string]int // starts of a task after mostCrashed of them
 }
 
 type event struct {
--- a/internal/batch/simcaller_test.go
+++ b/internal/batch/simcaller_test.go
@@ -91,7 +91,7 @@
 		j.ended = true
 	case batch.HasFailed(out.Err):
 		s.counts.failed++
-		j.ended = true
+		j.ended, j.failed = true, true
 	case out.Err.Ran == errkind.RanNo:
 		s.counts.refused++
 		j.ended, j.refused = true, !j.doubt
--- a/internal/batch/simnode_test.go
+++ b/internal/batch/simnode_test.go
@@ -124,6 +124,8 @@
 			e.m.Ended(e.s.now, from, f.RunsEnded)
 		case f.GuardBeat != nil:
 			e.m.Beat(e.s.now, from, f.GuardBeat)
+		case f.WorkerCrash != nil:
+			e.m.NoteCrash(f.WorkerCrash)
 		}
 	})
 }
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"wigeontray/internal/policy"
 	"wigeontray/internal/runs"
 	"wigeontray/internal/sched"
 )
@@ -180,10 +181,32 @@
 		how = runs.EndFailed
 	}
 	r.since = s.now
+	if job.crashes && k.Index == 0 {
+		s.after(crashesAfter, func() {
+			if w.up && w.active[k] == r {
+				s.counts.crashes++
+				job.crashed[task]++
+				w.crash(crashLasts)
+			}
+		})
+	}
+	if job.crashed[task] >= mostCrashed && !s.off.Has(policy.CrashLimit) {
+		if job.again[task]++; job.again[task] >= mostAgain {
+			s.breaks("task %s was started %d times after %d workers had crashed under it", task, job.again[task], job.crashed[task])
+		}
+	}
 	w.endAfter(r, took, how)
 	return runs.Done
 }
 
+// What a task does that crashes its worker, and when it must not be started any more.
+const (
+	crashesAfter = 5 * time.Millisecond
+	crashLasts   = 3 * time.Second
+	mostCrashed  = 3 // from then on its starts are counted
+	mostAgain    = 3
+)
+
 // drainBound is how long after a request to drain a domain tasks may start there.
 const drainBound = time.Second
 
@@ -305,6 +328,7 @@
 func (w *simWorker) take(h *runs.Hold, h2 *simHold) {
 	v := w.admit(&h.Lease)
 	if v == runs.NoAnswer {
+		h2.answer(&runs.HoldAnswer{Verdict: v, Gone: true})
 		return
 	}
 	if v != runs.Done {
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -15,6 +15,7 @@
 	guard  identity.Incarnation
 	place  int
 	worker wire.RunWorker
+	most   sched.Room    // the largest capacity that the worker has told in this life
 	seq    uint64        // of the last RunTasks
 	unseen []unseen      // RunTasks that its load does not count in yet
 	free   sched.Room    // by its last load
@@ -26,9 +27,11 @@
 	told   time.Duration
 	since  time.Duration // when the first of the runs that it has was sent
 	want   wire.RunWant  // what the guard was last told of tasks that wait
-	health sched.Health
-	sick   bool
-	until  time.Duration // end of its quarantine
+	// suspects is how many of this entry's tasks there have run under a worker's crash.
+	suspects int
+	health   sched.Health
+	sick     bool
+	until    time.Duration // end of its quarantine
 }
 
 type unseen struct {
@@ -112,8 +115,10 @@
 	if w.ID != before.ID {
 		s.health, s.sick = sched.Health{}, false
 		m.view[s.place].Limit = 0
+		s.most = sched.Room{}
 	}
 	s.worker = *w
+	s.most = s.most.Most(w.Capacity)
 	if w.ID != before.ID || !before.Usable || !before.Cold {
 		m.tryCold(s)
 	}
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -123,6 +123,8 @@
 			e.opt.Log.Info("worker changed", "guard", h.Incarnation, "worker", w.ID, "usable", w.Usable, "leaving", w.Leaving)
 		}
 		e.stepLocked(func(now time.Duration, m *batch.Machine) { m.Beat(now, h.Incarnation, f.GuardBeat) })
+	case f.WorkerCrash != nil:
+		e.machine.NoteCrash(f.WorkerCrash)
 	case f.JobQuery != nil:
 		e.report(h.Incarnation, f.JobQuery)
 	case f.JobReport != nil:
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -55,6 +55,10 @@
 	QuickOrders
 	// HangWatch gives back at once what a worker has on which nothing advances.
 	HangWatch
+	// CrashLimit fails the job of a task under which workers have crashed.
+	CrashLimit
+	// SuspectsApart runs tasks that are suspected of a crash apart from each other.
+	SuspectsApart
 	mechanismCount
 )
 
@@ -63,7 +67,7 @@
 	NearTold: "near-told", OwnDomain: "own-domain", LearnedTimes: "learned-times", QuickShare: "quick-share",
 	Quarantine: "quarantine", Probation: "probation", StallWatch: "stall-watch", PaceWatch: "pace-watch",
 	RetrySpread: "retry-spread", StoredReport: "stored-report", ConfigRelay: "config-relay", StartGrace: "start-grace",
-	QuickOrders: "quick-orders", HangWatch: "hang-watch",
+	QuickOrders: "quick-orders", HangWatch: "hang-watch", CrashLimit: "crash-limit", SuspectsApart: "suspects-apart",
 }
 
 // String gives the name that Parse reads.
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -194,6 +194,7 @@
 // HoldAnswer answers a Hold.
 type HoldAnswer struct {
 	Verdict Verdict
+	Gone    bool // with NoAnswer: nothing listens at the worker's address
 	ClockMs int64
 	Active  []Active
 	Ended   []Ended
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -115,6 +115,7 @@
 		l.token = max(l.token, a.ClockMs)
 		l.holdAt = now + retryOrder
 	default:
+		m.life.gone = a.Gone
 		m.unanswered(now)
 	}
 }
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -35,6 +35,7 @@
 	present  time.Duration // when its start was answered
 	expect   time.Duration // how long it should run; 0 if that is not known
 	moved    bool          // it may not be given back as slow
+	crashes  int           // of workers under the task, as far as its entry knows
 	percent  int64         // of its work, when it was last seen to advance
 	advanced time.Duration // and when that was
 	why      wire.RunEnd   // what the entry is told when it has been stopped
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -5,6 +5,7 @@
 
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
+	"wigeontray/internal/policy"
 	"wigeontray/internal/wire"
 )
 
@@ -94,7 +95,7 @@
 	case kind != errkind.None:
 	case !m.freeFor(m.entries[from]).Holds(task.Need):
 		kind = errkind.Busy
-	case m.otherRun(k):
+	case m.otherRun(k), task.Crashes > 0 && m.hasSuspect() && !m.off.Has(policy.SuspectsApart):
 		kind = errkind.Busy
 	}
 	if kind != errkind.None {
@@ -102,7 +103,7 @@
 		return nil
 	}
 	left := milliseconds(t.LeftMs)
-	r := &run{key: k, entry: from, need: task.Need, text: t.Text, deadline: now + left, ordered: now, expect: milliseconds(task.ExpectMs), moved: task.Moved}
+	r := &run{key: k, entry: from, need: task.Need, text: t.Text, deadline: now + left, ordered: now, expect: milliseconds(task.ExpectMs), moved: task.Moved, crashes: task.Crashes}
 	m.add(r)
 	if t.Source != "" {
 		r.state = awaiting
--- a/internal/runs/tick.go
+++ b/internal/runs/tick.go
@@ -26,14 +26,18 @@
 		}
 	}
 	if m.life.silent >= silentHolds && now >= m.life.leaseEnd {
-		m.letGo(now)
+		m.letGo(now, m.life.gone && m.unannounced())
 	}
 	m.endLeft(now)
 }
 
 // letGo settles all runs: those of a worker that has not answered for the time of
 // its lease, or whose life is over. They have ended, whether it lives or not.
-func (m *Machine) letGo(now time.Duration) {
+func (m *Machine) letGo(now time.Duration, crashed bool) {
+	var blamed map[Key]bool
+	if crashed {
+		blamed = m.blame()
+	}
 	for _, r := range m.inOrder() {
 		e := wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes}
 		switch r.state {
@@ -42,6 +46,7 @@
 		case awaiting:
 			e = notRun(errkind.NoWorkers)
 		}
+		e.Crashed = blamed[r.key]
 		m.end(now, r, e)
 	}
 }
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -20,6 +20,7 @@
 	strays   bool          // runs of an earlier guard may be there
 	left     bool          // it has announced its end, and may run on for a moment
 	recalled bool          // it has not reported to this guard yet
+	gone     bool          // nothing listened at its address when it was last asked
 
 	holding  bool // a Hold is under way
 	holdSent time.Duration
@@ -106,7 +107,7 @@
 
 // endLife ends the books of a life that is over: nothing of it runs any more.
 func (m *Machine) endLife(now time.Duration) {
-	m.letGo(now)
+	m.letGo(now, m.unannounced())
 	m.life = life{}
 	m.worker = wire.RunWorker{Leaving: m.leaving}
 }
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -25,6 +25,11 @@
 	return int(max(0, fit))
 }
 
+// Most gives the larger amount of each resource.
+func (r Room) Most(n Room) Room {
+	return Room{CPU: max(r.CPU, n.CPU), MemoryMB: max(r.MemoryMB, n.MemoryMB), GPUs: max(r.GPUs, n.GPUs)}
+}
+
 // Plus gives the sum.
 func (r Room) Plus(n Room) Room {
 	return Room{CPU: r.CPU + n.CPU, MemoryMB: r.MemoryMB + n.MemoryMB, GPUs: r.GPUs + n.GPUs}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -69,6 +69,7 @@
 	JobQuery    *JobQuery    `cbor:"33,keyasint,omitempty"`
 	JobReport   *JobReport   `cbor:"34,keyasint,omitempty"`
 	Drains      *Drains      `cbor:"35,keyasint,omitempty"`
+	WorkerCrash *WorkerCrash `cbor:"36,keyasint,omitempty"`
 }
 
 // Hello opens a link from a guard to an entry and announces its upstream.
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -100,6 +100,8 @@
 	ExpectMs int64 `cbor:"5,keyasint,omitempty"`
 	// Moved tells that an earlier run was given back as too slow; this one stays.
 	Moved bool `cbor:"6,keyasint,omitempty"`
+	// Crashes is under how many workers' crashes the task has run.
+	Crashes int `cbor:"7,keyasint,omitempty"`
 }
 
 // RunsEnded tells the entry what became of its tasks.
@@ -123,6 +125,8 @@
 	Renumber bool `cbor:"8,keyasint,omitempty"`
 	// NoText tells that the text was not to be had from its Source.
 	NoText bool `cbor:"9,keyasint,omitempty"`
+	// Crashed tells that the worker crashed while the run was there.
+	Crashed bool `cbor:"10,keyasint,omitempty"`
 }
 
 // StopRuns withdraws all tasks of a job. Those that started are ended.
@@ -171,6 +175,19 @@
 // Same tells whether both list the same domains, at whatever revision.
 func (d *Drains) Same(o *Drains) bool { return slices.Equal(d.Domains, o.Domains) }
 
+// WorkerCrash tells an entry of other entries' tasks that were at a worker when it crashed:
+// their jobs may come to it next.
+type WorkerCrash struct {
+	Tasks []TaskName `cbor:"1,keyasint"`
+}
+
+// TaskName names a task of a job.
+type TaskName struct {
+	Job   string `cbor:"1,keyasint"`
+	Step  int    `cbor:"2,keyasint"`
+	Index int    `cbor:"3,keyasint"`
+}
+
 // Entries lists the addresses of entries that the sender has come to know.
 type Entries struct {
 	Addresses []string `cbor:"1,keyasint"`
