runs: how long a worker may take to answer follows from how long it took

Cause: an order counted as unanswered after 40 ms, always. Ruled out: links (all ten were up), the store (answered), a wait of the entry. Change: the time follows from the longest answer of late, twice that, between 40 (15 in doubt) and 160 ms, and a Hold in a row without an answer may take twice as long as the one before; four of them, in place of five, make a worker unusable, in the same time.

--- a/internal/batch/load_test.go
+++ b/internal/batch/load_test.go
@@ -61,8 +61,9 @@
 	flap   int  // workers that crash by themselves every flapEvery for half of the length
 	// unanswered is the part of the orders to workers without an answer, from a quarter
 	// of the length on, for half of it.
-	unanswered float64
-	linkRate   float64 // of an entry's link in each direction, in bytes a second; 0 for no bound
+	unanswered  float64
+	slowAnswers time.Duration // by how much later workers answer
+	linkRate    float64       // of an entry's link in each direction, in bytes a second; 0 for no bound
 }
 
 // fault names what is wrong with the workers of a load, for the name of a figure.
@@ -126,7 +127,7 @@
 // play plays a load without faults.
 func (l load) play() *loadResult {
 	s := newSim(l.seed, loadEntries, loadGuards, runs.DefaultResend, l.off)
-	s.linkRate = l.linkRate
+	s.linkRate, s.slowAnswers = l.linkRate, l.slowAnswers
 	for _, w := range s.workers {
 		w.capacity = sched.Room{CPU: loadCPU, MemoryMB: 1 << 20}
 	}
@@ -376,6 +377,20 @@
 	qt.Check(t, with < 0.6*without, qt.IsTrue, qt.Commentf("%.3f, %.3f without", with, without))
 }
 
+// Guards against workers that count as unusable while a short processor delays their answers.
+func TestLoadWithSlowAnswersIsServed(t *testing.T) {
+	list := load{ofRoom: 0.3, slowAnswers: 70 * time.Millisecond}.results(t)
+	got := mean(list, func(r *loadResult) float64 {
+		sum, asked := 0, 0
+		for _, k := range r.kinds {
+			sum += k.inTime + k.late
+			asked += k.asked
+		}
+		return float64(sum) / float64(asked)
+	})
+	qt.Check(t, got > 0.9, qt.IsTrue, qt.Commentf("%.3f", got))
+}
+
 // What runs on two of ten workers stands still, and both answer as ever. Each run was given
 // the time in which a merely slow one would advance, and workers that hang, which have the
 // most room, drew new ones meanwhile.
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -32,13 +32,14 @@
 	faults  simFaults
 	// linkRate is what the link of an entry bears in each direction, in bytes a second; 0
 	// for no bound.
-	linkRate float64
-	resend   time.Duration            // when callers without an answer send a job again
-	off      policy.Set               // mechanisms that are switched off
-	drains   wire.Drains              // as the operators have them
-	drained  map[string]time.Duration // since when guards know of a domain's drain
-	broken   []string                 // rules that were broken
-	counts   simCounts
+	linkRate    float64
+	slowAnswers time.Duration            // by how much later workers answer
+	resend      time.Duration            // when callers without an answer send a job again
+	off         policy.Set               // mechanisms that are switched off
+	drains      wire.Drains              // as the operators have them
+	drained     map[string]time.Duration // since when guards know of a domain's drain
+	broken      []string                 // rules that were broken
+	counts      simCounts
 
 	worked float64 // at workers, in cores times seconds
 	wasted float64 // the part of it that served no caller in time
--- a/internal/batch/simnode_test.go
+++ b/internal/batch/simnode_test.go
@@ -271,6 +271,13 @@
 		s.after(simDelay/2, func() { carryOut() })
 		back(timeout, nil)
 	default:
-		s.after(simDelay/2, func() { back(simDelay/2, carryOut()) })
+		s.after(simDelay/2, func() {
+			got, late := carryOut(), simDelay/2+s.slowAnswers
+			if late < timeout {
+				back(late, got)
+			} else {
+				back(timeout, nil)
+			}
+		})
 	}
 }
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -317,7 +317,7 @@
 			}
 		})
 	}
-	h2.answer = func(a *runs.HoldAnswer) { back(simDelay/2, a) }
+	h2.answer = func(a *runs.HoldAnswer) { back(simDelay/2+s.slowAnswers, a) }
 	s.after(h.Wait+h.AnswerIn, func() { back(0, &runs.HoldAnswer{Verdict: runs.NoAnswer}) })
 	if s.rng.Float64() < s.faults.lateOrder {
 		return // its answer never comes
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -233,5 +233,5 @@
 	probeEvery = 500 * time.Millisecond
 	// silentHolds is how many Holds in a row go unanswered before a worker counts
 	// as unreachable, which takes about as long as its lease.
-	silentHolds = 5
+	silentHolds = 4
 )
--- a/internal/runs/doubt.go
+++ b/internal/runs/doubt.go
@@ -33,10 +33,32 @@
 // doubts tells whether answers of the worker are expected to be missing.
 func (m *Machine) doubts(now time.Duration) bool { return now < m.doubtful }
 
+// A guard or a worker whose processor is short answers late. Taken for lost, its answers leave a
+// sound worker unusable for as long as that lasts.
+const (
+	// delayMargin is by how much longer than answers took of late an order may lack one.
+	delayMargin = 2
+	// delayDecay is what is left of the longest delay with each answer.
+	delayDecay = 0.9
+	// mostOrder bounds the time for an answer. A few of them fit into a lease.
+	mostOrder = 160 * time.Millisecond
+)
+
+// noteDelay learns how long the worker took to answer.
+func (m *Machine) noteDelay(took time.Duration) {
+	m.delay = max(took, time.Duration(delayDecay*float64(m.delay)))
+}
+
 // answerIn is when an order that is sent now counts as unanswered.
 func (m *Machine) answerIn(now time.Duration) time.Duration {
+	least := orderTime
 	if m.doubts(now) {
-		return doubtOrder
+		least = doubtOrder
 	}
-	return orderTime
+	return min(mostOrder, max(least, delayMargin*m.delay))
+}
+
+// holdIn is the same for a Hold, after some that had no answer: each may take twice as long.
+func (m *Machine) holdIn(now time.Duration, unanswered int) time.Duration {
+	return min(mostOrder, m.answerIn(now)<<min(unanswered, silentHolds))
 }
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -31,7 +31,7 @@
 
 func (m *Machine) hold(now time.Duration) {
 	l := &m.life
-	h := &Hold{Lease: m.leaseFrom(now), Ack: l.cursor, AnswerIn: m.answerIn(now)}
+	h := &Hold{Lease: m.leaseFrom(now), Ack: l.cursor, AnswerIn: m.holdIn(now, l.silent)}
 	switch {
 	case l.left:
 		h.UntilMs, h.Wait = 0, m.holdWait(now) // it ends
@@ -43,7 +43,7 @@
 		h.Wait = m.holdWait(now)
 		m.noteOrder(now)
 	}
-	l.holding, l.holdSent, l.ackSent, l.probe = true, now, l.cursor, false
+	l.holding, l.holdSent, l.holdWait, l.ackSent, l.probe = true, now, h.Wait, l.cursor, false
 	m.actions = append(m.actions, Action{Hold: h})
 }
 
@@ -66,8 +66,8 @@
 func (m *Machine) verify(now time.Duration) {
 	l := &m.life
 	l.token = max(m.next.ClockMs, 1)
-	l.holding, l.holdSent = true, now
-	h := &Hold{Lease: Lease{Worker: m.next.ID, Token: l.token}, AnswerIn: m.answerIn(now)}
+	l.holding, l.holdSent, l.holdWait = true, now, 0
+	h := &Hold{Lease: Lease{Worker: m.next.ID, Token: l.token}, AnswerIn: m.holdIn(now, l.unverified)}
 	m.actions = append(m.actions, Action{Hold: h})
 }
 
@@ -75,6 +75,9 @@
 func (m *Machine) Held(now time.Duration, worker string, a *HoldAnswer) {
 	m.life.holding = false
 	m.noteAnswer(now, a.Verdict)
+	if took := now - m.life.holdSent - m.life.holdWait; a.Verdict != NoAnswer && took > 0 {
+		m.noteDelay(took)
+	}
 	if m.next != nil && worker == m.next.ID {
 		m.verified(now, a)
 	} else if worker == m.life.id {
@@ -92,6 +95,7 @@
 	case OtherWorker:
 		m.next = nil
 	default:
+		m.life.unverified++
 		m.life.holdAt = now + retryOrder
 	}
 }
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -31,6 +31,7 @@
 	deadline time.Duration // when it is of no use any more
 	ordered  time.Duration // when its start was first sent
 	tries    int           // starts sent
+	sent     time.Duration // when the last one was
 	answered bool          // its start was answered
 	present  time.Duration // when its start was answered
 	expect   time.Duration // how long it should run; 0 if that is not known
@@ -75,6 +76,7 @@
 	pacing  pacing
 	// doubtful is until when answers are expected to be missing.
 	doubtful time.Duration
+	delay    time.Duration // of the worker's answers, the longest of late
 
 	ends    map[identity.Incarnation][]wire.RunEnd // to be sent
 	turns   uint64                                 // offers made so far
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -138,6 +138,7 @@
 
 func (m *Machine) orderStart(now time.Duration, r *run) {
 	r.tries++
+	r.sent = now
 	m.noteOrder(now)
 	m.actions = append(m.actions, Action{Start: &Start{Lease: m.leaseFrom(now), Key: r.key, Text: r.text, AnswerIn: m.answerIn(now)}})
 }
@@ -214,6 +215,9 @@
 	if r == nil || r.answered {
 		return
 	}
+	if a.Verdict != NoAnswer {
+		m.noteDelay(now - r.sent)
+	}
 	if a.Verdict == NoAnswer && r.state == starting && r.tries < startTries && !m.Drained() && !m.overfull() {
 		// The worker takes a run that is there already, or has been, for the same
 		// one: sent again, it starts now or is found running. A copy that is
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -24,10 +24,13 @@
 
 	holding  bool // a Hold is under way
 	holdSent time.Duration
-	holdAt   time.Duration // not before this time
-	silent   int           // Holds in a row without an answer
-	probe    bool          // ask even though nothing runs
-	ackSent  int64         // Ack of the Hold that is under way
+	holdWait time.Duration // for which it may wait at the worker
+	// unverified is how many Holds in a row to verify a new life had no answer.
+	unverified int
+	holdAt     time.Duration // not before this time
+	silent     int           // Holds in a row without an answer
+	probe      bool          // ask even though nothing runs
+	ackSent    int64         // Ack of the Hold that is under way
 }
 
 // Heard takes a worker's report. A report of another life than the present one
