--- a/internal/batchnode/status.go
+++ b/internal/batchnode/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeontray/internal/identity"
+	"wigeontray/internal/wire"
 )
 
 // StatusPath is where a process tells operators of itself.
@@ -30,15 +31,20 @@
 	Workers int     `json:"workers,omitempty"` // that an entry knows there
 }
 
+// ProcessStatus is what the states of all processes have.
+type ProcessStatus struct {
+	Incarnation identity.Incarnation `json:"incarnation"`
+	Config      ConfigStatus         `json:"configuration"`
+	Drains      DrainsStatus         `json:"drains"`
+}
+
 // EntryStatus is the state of an entry.
 type EntryStatus struct {
-	Incarnation   identity.Incarnation `json:"incarnation"`
-	Config        ConfigStatus         `json:"configuration"`
-	Drains        DrainsStatus         `json:"drains"`
-	UnknownOrders []string             `json:"unknown_orders"` // keys
-	Guards        int                  `json:"guards"`
-	Workers       int                  `json:"usable_workers"`
-	Jobs          int                  `json:"open_jobs"`
+	ProcessStatus
+	UnknownOrders []string `json:"unknown_orders"` // keys
+	Guards        int      `json:"guards"`
+	Workers       int      `json:"usable_workers"`
+	Jobs          int      `json:"open_jobs"`
 }
 
 // Status gives the state of the entry.
@@ -50,31 +56,32 @@
 	now := e.opt.Clock()
 	jobs, _ := e.machine.Jobs("")
 	s := EntryStatus{
-		Incarnation: e.id, Config: ConfigStatus{Version: e.version},
-		Drains:        DrainsStatus{Revision: e.drains.known.Revision, Domains: []DrainStatus{}},
+		ProcessStatus: ProcessStatus{
+			Incarnation: e.id, Config: ConfigStatus{Version: e.version},
+			Drains: drainsStatus(&e.drains.known, e.drains.since, now),
+		},
 		UnknownOrders: append([]string{}, e.unknown...),
 		Guards:        len(e.links), Workers: e.machine.Workers(), Jobs: jobs,
 	}
 	if e.version > 0 {
 		s.Config.InForceS = (now - e.inForce).Seconds()
 	}
-	for _, d := range e.drains.known.Domains {
-		s.Drains.Domains = append(s.Drains.Domains, DrainStatus{Domain: d, KnownS: (now - e.drains.since[d]).Seconds(), Workers: e.machine.WorkersIn(d)})
+	for i := range s.Drains.Domains {
+		d := &s.Drains.Domains[i]
+		d.Workers = e.machine.WorkersIn(d.Domain)
 	}
 	return s
 }
 
 // GuardStatus is the state of a guard.
 type GuardStatus struct {
-	Incarnation identity.Incarnation `json:"incarnation"`
-	Config      ConfigStatus         `json:"configuration"`
-	Drains      DrainsStatus         `json:"drains"`
-	Entries     int                  `json:"entries"`
-	Worker      string               `json:"worker"` // empty while there is none
-	Domain      string               `json:"domain"`
-	Usable      bool                 `json:"usable"`
-	Drained     bool                 `json:"drained"`
-	Runs        int                  `json:"runs"`
+	ProcessStatus
+	Entries int    `json:"entries"`
+	Worker  string `json:"worker"` // empty while there is none
+	Domain  string `json:"domain"`
+	Usable  bool   `json:"usable"`
+	Drained bool   `json:"drained"`
+	Runs    int    `json:"runs"`
 }
 
 // Status gives the state of the guard.
@@ -82,14 +89,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w := g.machine.Worker()
-	s := GuardStatus{
-		Incarnation: g.id, Config: ConfigStatus{Version: g.version},
-		Drains:  DrainsStatus{Revision: g.drains.Revision, Domains: []DrainStatus{}},
+	return GuardStatus{
+		ProcessStatus: ProcessStatus{
+			Incarnation: g.id, Config: ConfigStatus{Version: g.version},
+			Drains: drainsStatus(&g.drains, g.drained, g.opt.Clock()),
+		},
 		Entries: len(g.links), Worker: w.ID, Domain: w.Domain, Usable: w.Usable,
 		Drained: g.machine.Drained(), Runs: g.machine.Running(),
 	}
-	for _, d := range g.drains.Domains {
-		s.Drains.Domains = append(s.Drains.Domains, DrainStatus{Domain: d, KnownS: (g.opt.Clock() - g.drained[d]).Seconds()})
+}
+
+func drainsStatus(d *wire.Drains, since map[string]time.Duration, now time.Duration) DrainsStatus {
+	s := DrainsStatus{Revision: d.Revision, Domains: []DrainStatus{}}
+	for _, domain := range d.Domains {
+		s.Domains = append(s.Domains, DrainStatus{Domain: domain, KnownS: (now - since[domain]).Seconds()})
 	}
 	return s
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -47,8 +47,8 @@
 	return id
 }
 
-// Read appends the lines of a log that are about a job or a request, and counts the lines that
-// could not be read. What stands before the first brace of a line, such as the
+// Read appends the lines of a log that are about a job, a request or a drain of a failure domain,
+// and counts the lines that could not be read. What stands before the first brace of a line, such as the
 // name of a collector, is passed over.
 func Read(lines []Line, r io.Reader, id string) ([]Line, int, error) {
 	scan := bufio.NewScanner(r)
@@ -57,14 +57,14 @@
 	for scan.Scan() {
 		b := scan.Bytes()
 		at := bytes.IndexByte(b, '{')
-		if at < 0 || !bytes.Contains(b, []byte(id)) {
+		if at < 0 || !bytes.Contains(b, []byte(id)) && !aboutDrain(b) {
 			continue
 		}
 		l, err := parse(b[at:])
 		switch {
 		case err != nil:
 			bad++
-		case l.Fields[fieldJob] == id || l.Fields[fieldReq] == id:
+		case l.Fields[fieldJob] == id || l.Fields[fieldReq] == id || l.Text == textDrained || l.Text == textTakenBack:
 			lines = append(lines, l)
 		}
 	}
@@ -99,6 +99,7 @@
 
 // Write prints the story of a job in order of time, and what is missing from it.
 func Write(w io.Writer, lines []Line) error {
+	lines, drains := splitDrains(lines)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	var b strings.Builder
 	for i := range lines {
@@ -111,6 +112,9 @@
 		}
 		b.WriteString("\n")
 	}
+	for _, d := range drainsDuring(lines, drains) {
+		b.WriteString("drained: " + d + "\n")
+	}
 	for _, m := range missing(lines) {
 		b.WriteString("missing: " + m + "\n")
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -66,3 +66,22 @@
 	c.Assert(b.String(), qt.Contains, "run ended")
 	c.Assert(b.String(), qt.Contains, "missing: the answer")
 }
+
+// Guards against a refusal whose cause, a drain of a failure domain, stands in lines that do not
+// name the job.
+func TestStoryTellsOfDrains(t *testing.T) {
+	c := qt.New(t)
+	const log = `{"time":"2026-01-01T00:00:00Z","msg":"failure domain is drained","node":"edge-1","domain":"z1"}
+{"time":"2026-01-01T00:00:00Z","msg":"failure domain is drained","node":"edge-1","domain":"z2"}
+{"time":"2026-01-01T00:00:01Z","msg":"failure domain is taken back","node":"edge-1","domain":"z2"}
+{"time":"2026-01-01T00:00:02Z","msg":"job refused","node":"edge-1","job":"j1","reason":"no_workers"}
+{"time":"2026-01-01T00:00:03Z","msg":"failure domain is drained","node":"edge-1","domain":"z3"}
+`
+	lines, _, err := Read(nil, strings.NewReader(log), "j1")
+	c.Assert(err, qt.IsNil)
+	var b strings.Builder
+	c.Assert(Write(&b, lines), qt.IsNil)
+	c.Assert(b.String(), qt.Equals, `     0.000s  edge-1                  job refused  reason=no_workers
+drained: z1, known to edge-1 since -2.000s
+`)
+}
