--- a/internal/batch/random_test.go
+++ b/internal/batch/random_test.go
@@ -80,7 +80,7 @@
 func TestNoTaskRunsTwiceAtOnceUnderRandomTrouble(t *testing.T) {
 	f := simFaults{lateOrder: 0.02, lostAnswer: 0.02, failRun: 0.01}
 	seeds := []uint64{
-		197,    // a lease reckoned from an older reading of a slow clock outlived the guard's belief
+		197,    // a lease computed from an older reading of a slow clock outlived the guard's belief
 		7,      // an entry woke from a freeze and began a job whose caller had left
 		10_892, // a late word on a run of the first submission was taken for the second one's
 	}
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -30,7 +30,7 @@
 	jobs    map[string]*simJob
 	running map[string]string // task to the worker that runs it
 	faults  simFaults
-	// linkRate is what the link of an entry bears in each direction, in bytes a second; 0
+	// linkRate is what the link of an entry carries in each direction, in bytes a second; 0
 	// for no bound.
 	linkRate    float64
 	slowAnswers time.Duration            // by how much later workers answer
--- a/internal/batchnode/node_test.go
+++ b/internal/batchnode/node_test.go
@@ -255,7 +255,7 @@
 }
 
 // All entries lose their power and come back. Until their earlier registrations
-// lapse, the list names each address twice. Counted so, each entry reckoned with half
+// lapse, the list names each address twice. Counted so, each entry counted on half
 // of its part of the workers, and refused jobs that had time for six seconds.
 func TestEntryThatIsListedTwiceIsCountedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -333,7 +333,7 @@
 	r.Assert(r.m.Worker().Usable, qt.IsFalse)
 }
 
-// A worker's clock is 2% slow. A lease reckoned from an older reading of it would
+// A worker's clock is 2% slow. A lease computed from an older reading of it would
 // last longer there than the guard believes, and its task be started elsewhere
 // too early.
 func TestLeaseIsReckonedFromTheNewestClock(t *testing.T) {
