--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -1,7 +1,7 @@
 // Package capacity owns the measuring command: it links many lightweight
 // guards to a running entry over loopback, first idle and then under load, and
 // prints what one guard and one task cost on the wire and at the entry, with
-// the slopes from which docs/CAPACITY.md is worked out.
+// the slopes of its own interface.
 //
 // A lightweight guard is one goroutine that speaks the inner protocol, decides
 // as a real guard does, and has an upstream that answers in no time. The entry is a real one; its figures are read
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -16,9 +16,8 @@
 }
 
 // entryGCPercent is how much garbage an entry lets grow, as a percentage of its
-// live heap. At the runtime's own 100, an entry with the 410 guards of a region
-// took 32.1 MB and missed its 32 MB; at 50 it takes 30.1 MB
-// (docs/CAPACITY.md#slopes).
+// live heap. The runtime's own 100 takes an entry with the guards of a region beyond
+// its memory.
 const entryGCPercent = 50
 
 // collectEarly makes the collector of an entry run more often, unless the
