batch, runs, wire: demand and advertise in place of want and tell; no change of behaviour

Names of the field for what an entry lets guards know of tasks that wait for room. Keys of the protocol are as they were; the mechanism near-told is near-first.

--- a/internal/batch/tell_test.go
+++ b/internal/batch/advertise_test.go
@@ -32,7 +32,7 @@
 	out := make(map[identity.Incarnation]bool)
 	for _, a := range actions {
 		if a.Frame != nil && a.Frame.EntryBeat != nil {
-			out[a.Guard] = a.Frame.EntryBeat.Want.CPU > 0
+			out[a.Guard] = a.Frame.EntryBeat.Demand.CPU > 0
 		}
 	}
 	return out
@@ -69,7 +69,7 @@
 	m := fullFleet(72)
 	qt.Assert(t, m.Submit(0, waitingJob("j")) == nil, qt.IsTrue)
 	first := told(m.Actions(0))
-	qt.Check(t, first, qt.HasLen, tellGuards)
+	qt.Check(t, first, qt.HasLen, firstGuards)
 	for guard := range first {
 		qt.Check(t, m.places[guard].worker.Domain, qt.Equals, "d0")
 	}
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -44,21 +44,21 @@
 	view   []sched.Site
 	places map[identity.Incarnation]*site
 
-	jobs    map[string]*job
-	queue   []*job // with tasks that wait, in order
-	flights map[runs.Key]*flight
-	learned map[string]*sched.Ratio // by queue
-	past    *past
-	crashes *crashCounts
-	seq     uint64
-	urgent  map[string]urgency // by service
-	anyLost bool               // a guard with flights was lost
-	told    wire.RunWant       // what guards were told of tasks that wait
-	toldAt  time.Duration      // and when
-	// toldGuards is to how many guards that was told, at most.
-	toldGuards int
-	uplink     uplink
-	drains     wire.Drains // failure domains in which nothing is started
+	jobs         map[string]*job
+	queue        []*job // with tasks that wait, in order
+	flights      map[runs.Key]*flight
+	learned      map[string]*sched.Ratio // by queue
+	past         *past
+	crashes      *crashCounts
+	seq          uint64
+	urgent       map[string]urgency // by service
+	anyLost      bool               // a guard with flights was lost
+	advertised   wire.RunDemand     // the demand that guards have heard of
+	advertisedAt time.Duration      // and when
+	// advertisedTo is to how many guards at most.
+	advertisedTo int
+	uplink       uplink
+	drains       wire.Drains // failure domains in which nothing is started
 
 	actions []Action
 }
@@ -83,7 +83,7 @@
 
 // Actions returns the actions since the last call, for the caller to keep.
 func (m *Machine) Actions(now time.Duration) []Action {
-	m.tellWant(now)
+	m.advertise(now)
 	out := m.actions
 	m.actions = nil
 	return out
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -218,12 +218,12 @@
 	for i := range b.tasks {
 		sum = sum.Plus(b.tasks[i].Need)
 	}
-	want := m.want()
-	at.want = want
+	demand := m.demand()
+	at.demand = demand
 	j.note(Event{At: now, What: Sent, Guard: at.guard, Tasks: len(b.tasks), Free: m.view[at.place].Free.CPU + sum.CPU, Age: now - at.heard})
 	run := &wire.RunTasks{
 		Seq: at.seq, ClockMs: at.clockMs(now), Job: j.spec.ID,
-		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks, Want: want, Request: j.spec.Request,
+		LeftMs: (j.spec.Deadline - now).Milliseconds(), Tasks: b.tasks, Demand: demand, Request: j.spec.Request,
 		SelfLimiting: j.spec.Queue.SelfLimiting,
 	}
 	m.addText(j, at, run)
@@ -259,7 +259,7 @@
 const fetchPays = 2 * time.Millisecond
 
 func (m *Machine) frame(now time.Duration, at *site, f *wire.Frame) mark {
-	at.told = now
+	at.lastSent = now
 	m.actions = append(m.actions, Action{Guard: at.guard, Frame: f})
 	return m.uplink.put(now, f)
 }
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -12,21 +12,21 @@
 
 // site is one guard with its worker, from its link's start to its end.
 type site struct {
-	guard  identity.Incarnation
-	place  int
-	worker wire.RunWorker
-	most   sched.Room    // the largest capacity that the worker has told in this life
-	seq    uint64        // of the last RunTasks
-	unseen []unseen      // RunTasks that its load does not count in yet
-	free   sched.Room    // by its last load
-	ahead  time.Duration // its clock less this entry's, at least
-	packs  bool          // it reads packed texts
-	texts  string        // where other guards fetch texts from it; empty for nowhere
-	aged   time.Duration // how old this entry's tasks are when they come, at least
-	heard  time.Duration
-	told   time.Duration
-	since  time.Duration // when the first of the runs that it has was sent
-	want   wire.RunWant  // what the guard was last told of tasks that wait
+	guard    identity.Incarnation
+	place    int
+	worker   wire.RunWorker
+	most     sched.Room    // the largest capacity that the worker has told in this life
+	seq      uint64        // of the last RunTasks
+	unseen   []unseen      // RunTasks that its load does not count in yet
+	free     sched.Room    // by its last load
+	ahead    time.Duration // its clock less this entry's, at least
+	packs    bool          // it reads packed texts
+	texts    string        // where other guards fetch texts from it; empty for nowhere
+	aged     time.Duration // how old this entry's tasks are when they come, at least
+	heard    time.Duration
+	lastSent time.Duration  // when it was last sent a frame
+	since    time.Duration  // when the first of the runs that it has was sent
+	demand   wire.RunDemand // what the guard was last told of tasks that wait
 	// suspects is how many of this entry's tasks there have run under a worker's crash.
 	suspects int
 	health   sched.Health
--- a/internal/batch/tick.go
+++ b/internal/batch/tick.go
@@ -87,7 +87,7 @@
 		case now-max(s.heard, s.since) > m.opt.Timing.Permit:
 			m.actions = append(m.actions, Action{Guard: s.guard, Drop: true})
 			m.GuardDown(now, s.guard)
-		case now-s.told >= m.opt.Timing.Beat:
+		case now-s.lastSent >= m.opt.Timing.Beat:
 			m.beat(now, s)
 		}
 	}
@@ -121,7 +121,7 @@
 			sooner(f.lost)
 			continue
 		}
-		sooner(f.site.told + m.opt.Timing.Beat)
+		sooner(f.site.lastSent + m.opt.Timing.Beat)
 		sooner(max(f.site.heard, f.site.since) + m.opt.Timing.Permit + time.Millisecond)
 	}
 	for _, s := range m.sites {
@@ -132,8 +132,8 @@
 	if len(m.queue) > 0 && m.uplink.holds {
 		sooner(m.uplink.opensAt())
 	}
-	if m.told.CPU > 0 && m.toldGuards < len(m.places) {
-		sooner(m.toldAt + m.tellPause())
+	if m.advertised.CPU > 0 && m.advertisedTo < len(m.places) {
+		sooner(m.advertisedAt + m.advertisePause())
 	}
 	return next
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -27,8 +27,8 @@
 	// UrgentOffers orders offers by the most urgent task that would fit, and lets them
 	// grow and be declined.
 	UrgentOffers
-	// NearTold tells the guards of the own failure domain first that tasks wait.
-	NearTold
+	// NearFirst tells the guards of the own failure domain first that tasks wait.
+	NearFirst
 	// OwnDomain places tasks in the own failure domain first.
 	OwnDomain
 	// LearnedTimes corrects the callers' estimates of run times.
@@ -64,7 +64,7 @@
 
 var names = [mechanismCount]string{
 	WholeStarts: "whole-starts", BoundedWait: "bounded-wait", Offers: "offers", UrgentOffers: "urgent-offers",
-	NearTold: "near-told", OwnDomain: "own-domain", LearnedTimes: "learned-times", QuickShare: "quick-share",
+	NearFirst: "near-first", OwnDomain: "own-domain", LearnedTimes: "learned-times", QuickShare: "quick-share",
 	Quarantine: "quarantine", Probation: "probation", StallWatch: "stall-watch", PaceWatch: "pace-watch",
 	RetrySpread: "retry-spread", StoredReport: "stored-report", ConfigRelay: "config-relay", StartGrace: "start-grace",
 	QuickOrders: "quick-orders", HangWatch: "hang-watch", CrashLimit: "crash-limit", SuspectsApart: "suspects-apart",
--- a/internal/runs/capacity_test.go
+++ b/internal/runs/capacity_test.go
@@ -16,7 +16,7 @@
 // against entries that go by the old one.
 func TestChangedCapacityIsToldAtOnce(t *testing.T) {
 	w := newWorld(t)
-	w.want(otherEntry, wire.RunWant{CPU: 4 * taskCPU, LeastCPU: taskCPU, UrgentCPU: taskCPU})
+	w.demand(otherEntry, wire.RunDemand{CPU: 4 * taskCPU, LeastCPU: taskCPU, UrgentCPU: taskCPU})
 	w.settle()
 	w.reportCapacity(20000)
 	offered := int64(0)
--- a/internal/runs/exhaustive_test.go
+++ b/internal/runs/exhaustive_test.go
@@ -124,7 +124,7 @@
 		}
 	},
 	func(w *world) {
-		w.want(otherEntry, wire.RunWant{CPU: 2 * taskCPU, LeastCPU: taskCPU, UrgentCPU: taskCPU})
+		w.demand(otherEntry, wire.RunDemand{CPU: 2 * taskCPU, LeastCPU: taskCPU, UrgentCPU: taskCPU})
 	},
 	func(w *world) { w.m.StopJob(w.now, testEntry, &wire.StopRuns{ClockMs: w.now.Milliseconds(), Job: "j"}) },
 }
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -47,17 +47,17 @@
 
 // permit is what the machine knows of one entry.
 type permit struct {
-	linked bool
-	newest time.Duration // the guard's clock in the entry's newest word
-	seen   uint64        // Seq of its last RunTasks
-	age    time.Duration // how old that was when it came
-	owed   bool          // the entry is to be told that age at once
-	told   time.Duration // when it was last sent a load
-	want   wire.RunWant  // of its tasks without room
-	offer  offer
-	unused int    // offers in a row that the entry did not answer, up to mostUnused
-	turn   uint64 // when it was last made an offer
-	runs   int
+	linked   bool
+	newest   time.Duration  // the guard's clock in the entry's newest word
+	seen     uint64         // Seq of its last RunTasks
+	age      time.Duration  // how old that was when it came
+	owed     bool           // the entry is to be told that age at once
+	lastSent time.Duration  // when it was last sent a load
+	demand   wire.RunDemand // of its tasks without room
+	offer    offer
+	unused   int    // offers in a row that the entry did not answer, up to mostUnused
+	turn     uint64 // when it was last made an offer
+	runs     int
 }
 
 // Machine is the state of one guard and its worker.
@@ -189,7 +189,7 @@
 }
 
 func (m *Machine) send(now time.Duration, to identity.Incarnation, f *wire.Frame) {
-	m.entries[to].told, m.entries[to].owed = now, false
+	m.entries[to].lastSent, m.entries[to].owed = now, false
 	m.actions = append(m.actions, Action{Send: &Send{To: to, Frame: f}})
 }
 
--- a/internal/runs/offer.go
+++ b/internal/runs/offer.go
@@ -59,7 +59,7 @@
 		if p == nil {
 			return made
 		}
-		left.CPU = min(left.CPU, p.want.CPU-p.offer.room.CPU)
+		left.CPU = min(left.CPU, p.demand.CPU-p.offer.room.CPU)
 		m.turns++
 		p.offer, p.turn = p.offer.grown(now, left), m.turns
 		if made == nil {
@@ -83,7 +83,7 @@
 	var best *permit
 	for _, name := range m.names() {
 		p := m.entries[name]
-		if !m.mayOffer(now, p) || left.CPU < max(1, p.want.LeastCPU) {
+		if !m.mayOffer(now, p) || left.CPU < max(1, p.demand.LeastCPU) {
 			continue
 		}
 		if best == nil || m.goesBefore(p, best, left) {
@@ -97,22 +97,22 @@
 // if what ends while its answer is on the way went to others, these would begin what is
 // less urgent. One whose frames are held up on their way could not use it in time.
 func (m *Machine) mayOffer(now time.Duration, p *permit) bool {
-	if !p.linked || now < p.offer.pause || p.want.CPU == 0 || p.age > offerTime {
+	if !p.linked || now < p.offer.pause || p.demand.CPU == 0 || p.age > offerTime {
 		return false
 	}
-	return p.offer.until == 0 || p.offer.room.CPU < p.want.CPU && !m.off.Has(policy.UrgentOffers)
+	return p.offer.until == 0 || p.offer.room.CPU < p.demand.CPU && !m.off.Has(policy.UrgentOffers)
 }
 
 // goesBefore orders entries by the most urgent of their tasks, and those of one urgency
 // by turn. An entry whose most urgent task does not fit into the room comes after those
 // whose fits: it would use it for something that is less urgent.
 func (m *Machine) goesBefore(p, o *permit, left sched.Room) bool {
-	pFits, oFits := left.CPU >= p.want.UrgentCPU, left.CPU >= o.want.UrgentCPU
+	pFits, oFits := left.CPU >= p.demand.UrgentCPU, left.CPU >= o.demand.UrgentCPU
 	if pFits != oFits && !m.off.Has(policy.UrgentOffers) {
 		return pFits
 	}
-	if p.want.Priority != o.want.Priority {
-		return p.want.Priority < o.want.Priority
+	if p.demand.Priority != o.demand.Priority {
+		return p.demand.Priority < o.demand.Priority
 	}
 	return p.turn < o.turn
 }
--- a/internal/runs/offer_test.go
+++ b/internal/runs/offer_test.go
@@ -29,8 +29,8 @@
 	return r
 }
 
-func (r *rig) want(entry identity.Incarnation, w wire.RunWant) {
-	r.m.Beat(r.now, entry, &wire.EntryBeat{ClockMs: r.now.Milliseconds(), Want: w})
+func (r *rig) demand(entry identity.Incarnation, w wire.RunDemand) {
+	r.m.Beat(r.now, entry, &wire.EntryBeat{ClockMs: r.now.Milliseconds(), Demand: w})
 }
 
 // end lets a task end at the worker, and gives the room that each entry is told is free.
@@ -58,8 +58,8 @@
 // something less urgent, and the urgent request that fits be late.
 func TestRoomGoesWhereTheMostUrgentTaskFits(t *testing.T) {
 	r := fullRig(t)
-	r.want(testEntry, wire.RunWant{CPU: 9000, LeastCPU: 1000, UrgentCPU: 4000})
-	r.want(otherEntry, wire.RunWant{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000})
+	r.demand(testEntry, wire.RunDemand{CPU: 9000, LeastCPU: 1000, UrgentCPU: 4000})
+	r.demand(otherEntry, wire.RunDemand{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000})
 	told := r.end(1, 0)
 	r.Check(told[otherEntry], qt.Equals, int64(2000))
 	r.Check(told[testEntry], qt.Equals, int64(0))
@@ -70,8 +70,8 @@
 // be used for what is less urgent.
 func TestOfferGrowsWhileItsAnswerIsOnTheWay(t *testing.T) {
 	r := fullRig(t)
-	r.want(testEntry, wire.RunWant{CPU: 6000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
-	r.want(otherEntry, wire.RunWant{CPU: 4000, LeastCPU: 2000, UrgentCPU: 2000})
+	r.demand(testEntry, wire.RunDemand{CPU: 6000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
+	r.demand(otherEntry, wire.RunDemand{CPU: 4000, LeastCPU: 2000, UrgentCPU: 2000})
 	r.Check(r.end(1, 0)[otherEntry], qt.Equals, int64(2000))
 	r.Check(r.end(2, 1)[otherEntry], qt.Equals, int64(4000))
 	told := r.end(3, 2) // it wants no more than that
@@ -82,11 +82,11 @@
 // guard offers the room to the next entry at once rather than hold it for 20 ms.
 func TestDeclinedOfferGoesToTheNextEntry(t *testing.T) {
 	r := fullRig(t)
-	r.want(testEntry, wire.RunWant{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
-	r.want(otherEntry, wire.RunWant{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000})
+	r.demand(testEntry, wire.RunDemand{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
+	r.demand(otherEntry, wire.RunDemand{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000})
 	r.Check(r.end(1, 0)[otherEntry], qt.Equals, int64(2000))
 	r.now += time.Millisecond
-	r.want(otherEntry, wire.RunWant{CPU: 3000, LeastCPU: 3000, UrgentCPU: 3000})
+	r.demand(otherEntry, wire.RunDemand{CPU: 3000, LeastCPU: 3000, UrgentCPU: 3000})
 	r.Check(r.told()[testEntry], qt.Equals, int64(2000))
 }
 
@@ -95,13 +95,13 @@
 // the other entry are refused.
 func TestFrozenEntryHoldsLittleRoom(t *testing.T) {
 	r := fullRig(t)
-	r.want(testEntry, wire.RunWant{CPU: 8000, LeastCPU: 2000, UrgentCPU: 2000})
-	r.want(otherEntry, wire.RunWant{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
+	r.demand(testEntry, wire.RunDemand{CPU: 8000, LeastCPU: 2000, UrgentCPU: 2000})
+	r.demand(otherEntry, wire.RunDemand{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
 	r.end(1, 0)
 	held, ticks := 0, 0
 	for r.now < time.Minute+time.Second {
 		r.pass(time.Millisecond)
-		r.want(otherEntry, wire.RunWant{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
+		r.demand(otherEntry, wire.RunDemand{CPU: 2000, LeastCPU: 2000, UrgentCPU: 2000, Priority: 1})
 		r.actions()
 		if r.m.entries[testEntry].offer.until > 0 {
 			held++
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -16,7 +16,7 @@
 		p = new(permit)
 		m.entries[name] = p
 	}
-	p.linked, p.want, p.offer, p.seen, p.unused = true, wire.RunWant{}, offer{}, 0, 0
+	p.linked, p.demand, p.offer, p.seen, p.unused = true, wire.RunDemand{}, offer{}, 0, 0
 	p.newest, p.age = now, 0
 }
 
@@ -27,7 +27,7 @@
 	if p == nil {
 		return
 	}
-	p.linked, p.want, p.offer = false, wire.RunWant{}, offer{}
+	p.linked, p.demand, p.offer = false, wire.RunDemand{}, offer{}
 	m.stopAll(now, name, withdrawn(errkind.Cancelled))
 	m.forgetIdle(name)
 }
@@ -38,7 +38,7 @@
 	if p == nil || !p.linked {
 		return
 	}
-	p.seen, p.want, p.offer, p.unused = t.Seq, t.Want, offer{}, 0
+	p.seen, p.demand, p.offer, p.unused = t.Seq, t.Demand, offer{}, 0
 	kind := m.refusal(now, p, t)
 	awaited := false
 	for i := range t.Tasks {
@@ -169,8 +169,8 @@
 func (m *Machine) Beat(_ time.Duration, from identity.Incarnation, b *wire.EntryBeat) {
 	if p := m.entries[from]; p != nil {
 		p.hear(b.ClockMs)
-		p.want, p.unused = b.Want, 0
-		if p.offer.room.CPU < max(1, b.Want.LeastCPU) || b.Want.CPU == 0 {
+		p.demand, p.unused = b.Demand, 0
+		if p.offer.room.CPU < max(1, b.Demand.LeastCPU) || b.Demand.CPU == 0 {
 			p.offer = offer{} // it has no use for it
 		}
 	}
--- a/internal/runs/tick.go
+++ b/internal/runs/tick.go
@@ -60,7 +60,7 @@
 		if now-p.newest > m.timing.Permit {
 			m.stopAll(now, name, withdrawn(errkind.Fenced))
 		}
-		if p.linked && now-p.told >= m.timing.Beat {
+		if p.linked && now-p.lastSent >= m.timing.Beat {
 			m.send(now, name, &wire.Frame{GuardBeat: &wire.GuardBeat{Load: m.Load(now, name)}})
 		}
 	}
@@ -85,11 +85,11 @@
 	}
 	for _, p := range m.entries {
 		if p.runs > 0 && p.linked {
-			sooner(p.told + m.timing.Beat)
+			sooner(p.lastSent + m.timing.Beat)
 		}
 		if p.offer.until > 0 {
 			sooner(p.offer.until)
-		} else if p.offer.pause > 0 && p.want.CPU > 0 {
+		} else if p.offer.pause > 0 && p.demand.CPU > 0 {
 			sooner(p.offer.pause)
 		}
 	}
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -65,7 +65,7 @@
 	Text    string    `cbor:"4,keyasint,omitempty"` // what the tasks are, for the worker
 	LeftMs  int64     `cbor:"5,keyasint"`           // time until they are of no use and are stopped
 	Tasks   []RunTask `cbor:"6,keyasint"`
-	Want    RunWant   `cbor:"7,keyasint"` // what is left without room after these
+	Demand  RunDemand `cbor:"7,keyasint"` // what is left without room after these
 	// Request is the caller's name for its submission, for the guard's log: an entry
 	// that loses its power leaves no line of the jobs that it had.
 	Request string `cbor:"8,keyasint,omitempty"`
@@ -80,9 +80,9 @@
 	SelfLimiting bool `cbor:"12,keyasint,omitempty"`
 }
 
-// RunWant tells a guard what an entry's tasks that wait would take. The zero value
+// RunDemand tells a guard what an entry's tasks that wait would take. The zero value
 // means that none wait.
-type RunWant struct {
+type RunDemand struct {
 	CPU      int64 `cbor:"1,keyasint,omitempty"` // of all of them, thousandths of a core
 	LeastCPU int64 `cbor:"2,keyasint,omitempty"` // of the smallest
 	Priority int   `cbor:"3,keyasint,omitempty"` // of the most urgent; 0 goes first
@@ -138,9 +138,9 @@
 // EntryBeat tells a guard that the entry lives and still wants its tasks there.
 type EntryBeat struct {
 	ClockMs int64 `cbor:"1,keyasint"` // as in RunTasks
-	// Want is of the tasks for which the entry sees no room; the guard then offers
+	// Demand is of the tasks for which the entry sees no room; the guard then offers
 	// it room that becomes free.
-	Want RunWant `cbor:"2,keyasint"`
+	Demand RunDemand `cbor:"2,keyasint"`
 }
 
 // GuardBeat tells an entry that the guard lives, and its state.
