--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -39,8 +39,7 @@
 	return sum
 }
 
-// Guards against a task that crashes worker after worker, and against jobs that are told to
-// have failed as they were beside it.
+// Guards against a task that crashes worker after worker, and against jobs that are told to have failed as they were beside it.
 func TestLoadWithCrashingJobsLosesFewWorkersAndNoInnocentJob(t *testing.T) {
 	with, together, unlimited := playCrashes(t), playCrashes(t, policy.SuspectsApart), playCrashes(t, policy.CrashLimit)
 	qt.Check(t, with.convicted >= crashSeeds*crashJobs-1, qt.IsTrue)
--- a/internal/batch/drain_test.go
+++ b/internal/batch/drain_test.go
@@ -29,8 +29,7 @@
 	}
 }
 
-// Guards against starts in a drained failure domain, and against jobs that run twice or are
-// refused untruly around a drain.
+// Guards against starts in a drained failure domain, and against jobs that run twice or are refused untruly around a drain.
 func TestNothingStartsInADrainedDomainUnderRandomTrouble(t *testing.T) {
 	f := simFaults{lateOrder: 0.02, lostAnswer: 0.02, failRun: 0.01}
 	for seed := range uint64(40) {
@@ -45,8 +44,7 @@
 // drainSeeds is with how many seeds these loads are played: single ones differ by a tenth.
 const drainSeeds = 8
 
-// Guards against a load of 0.45 that goes on to be sent to one of two domains after its drain,
-// and against a domain that stays unused after it was taken back.
+// Guards against a load of 0.45 that goes on to be sent to one of two domains after its drain, and against a domain that stays unused after it was taken back.
 func TestLoadWithADrainedDomainIsServedByTheOther(t *testing.T) {
 	list := load{ofRoom: 0.45, drain: true}.resultsOf(t, drainSeeds)
 	served := mean(list, (*loadResult).served)
--- a/internal/batchnode/drains_test.go
+++ b/internal/batchnode/drains_test.go
@@ -129,8 +129,7 @@
 	})
 }
 
-// Guards against tasks started in a drained failure domain for an entry that the store turns
-// away, and against a domain that stays empty after it was taken back.
+// Guards against tasks started in a drained failure domain for an entry that the store turns away, and against a domain that stays empty after it was taken back.
 func TestDrainReachesAnEntryThatTheStoreTurnsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
@@ -199,8 +198,7 @@
 	})
 }
 
-// Guards against work in a domain after all processes were restarted and the store is away:
-// guards alone, which have restarted too, know nothing, and nothing may be begun.
+// Guards against work in a domain after all processes were restarted and the store is away: guards alone, which have restarted too, know nothing, and nothing may be begun.
 func TestNothingIsBegunBeforeDrainsAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -67,8 +67,7 @@
 	c.Assert(b.String(), qt.Contains, "missing: the answer")
 }
 
-// Guards against a refusal whose cause, a drain of a failure domain, stands in lines that do not
-// name the job.
+// Guards against a refusal whose cause, a drain of a failure domain, stands in lines that do not name the job.
 func TestStoryTellsOfDrains(t *testing.T) {
 	c := qt.New(t)
 	const log = `{"time":"2026-01-01T00:00:00Z","msg":"failure domain is drained","node":"edge-1","domain":"z1"}
--- a/internal/httpserve/conn_test.go
+++ b/internal/httpserve/conn_test.go
@@ -37,8 +37,7 @@
 	return c.Conn.Read(p)
 }
 
-// Guards against a request that has arrived being cut off by a planned stop, as its connection
-// was taken for unused.
+// Guards against a request that has arrived being cut off by a planned stop, as its connection was taken for unused.
 func TestRequestThatArrivedBeforeTheStopIsAnswered(t *testing.T) {
 	c := qt.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/runs/capacity_test.go
+++ b/internal/runs/capacity_test.go
@@ -12,8 +12,7 @@
 	"wigeontray/internal/wire"
 )
 
-// Guards against capacity that has grown and stays unused until the next end of a run, and
-// against entries that go by the old one.
+// Guards against capacity that has grown and stays unused until the next end of a run, and against entries that go by the old one.
 func TestChangedCapacityIsToldAtOnce(t *testing.T) {
 	w := newWorld(t)
 	w.demand(otherEntry, wire.RunDemand{CPU: 4 * taskCPU, LeastCPU: taskCPU, UrgentCPU: taskCPU})
@@ -53,8 +52,7 @@
 	qt.Check(t, empty.Check(), qt.IsNil)
 }
 
-// Guards against a guard that has just started and goes by a capacity that has shrunk since its
-// predecessor was told of it.
+// Guards against a guard that has just started and goes by a capacity that has shrunk since its predecessor was told of it.
 func TestRecalledCapacityIsNotTrusted(t *testing.T) {
 	r := &rig{C: qt.New(t), m: New(Options{}), now: time.Minute}
 	r.m.LinkUp(r.now, testEntry)
--- a/internal/runs/crash_test.go
+++ b/internal/runs/crash_test.go
@@ -10,8 +10,7 @@
 	"wigeontray/internal/wire"
 )
 
-// Guards against a crash of the worker that is not told as one, and against innocent tasks that
-// are blamed beside one that is suspected already.
+// Guards against a crash of the worker that is not told as one, and against innocent tasks that are blamed beside one that is suspected already.
 func TestCrashIsBlamedOnSuspectsFirst(t *testing.T) {
 	crashed := func(suspect bool) []bool {
 		r := newRig(t)
--- a/internal/runs/drain_test.go
+++ b/internal/runs/drain_test.go
@@ -24,8 +24,7 @@
 	r.m.SetDrains(r.now, &wire.Drains{Revision: revision, Domains: domains})
 }
 
-// Guards against starts and offers in a drained failure domain, and against the end of what
-// runs there.
+// Guards against starts and offers in a drained failure domain, and against the end of what runs there.
 func TestDrainedWorkerTakesNothingAndEndsWhatRuns(t *testing.T) {
 	r := drainedRig(t)
 	r.send(r.now, 1)
--- a/internal/runs/exhaustive_test.go
+++ b/internal/runs/exhaustive_test.go
@@ -132,8 +132,7 @@
 // worldSteps is how many events are played in each order.
 const worldSteps = 4
 
-// Guards against a start that brings a worker over a capacity that has shrunk, with offers,
-// starts, stops and reports in every order.
+// Guards against a start that brings a worker over a capacity that has shrunk, with offers, starts, stops and reports in every order.
 func TestCapacityIsNeverExceededInAnyOrder(t *testing.T) {
 	orders := 1
 	for range worldSteps {
