runs: a run that a worker no longer lists is looked for once more before it is given back

Cause: a worker that crashes while a Hold waits may answer it in its next life, which lists nothing. The guard took the runs for gone, with nothing to blame; the next Hold, refused by the other life, found no run that a crash could be put down to. Change: a run that is missed is asked for again at once, without a wait. If another life answers, it is the crash that it was; if the same one does, the run is given back as before, a round trip later. Test: TestCrashDuringAHoldIsBlamed, red before (the run was given back with the first answer).

--- a/internal/runs/crash_test.go
+++ b/internal/runs/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -61,3 +62,39 @@
 	r.Check(got.ends[0].Index, qt.Equals, 2)
 	r.Check(got.ends[0].Kind, qt.Equals, errkind.Busy)
 }
+
+// crash lets another life of the worker answer, and gives the ends of the runs.
+func (r *rig) crash() []wire.RunEnd {
+	r.held(testWorker, HoldAnswer{Verdict: OtherWorker})
+	return sortOut(r.actions()).ends
+}
+
+// Guards against a crash during a Hold that the next life of the worker answers: its runs were given back as lost, with nobody to blame.
+func TestCrashDuringAHoldIsBlamed(t *testing.T) {
+	missed := func() *rig {
+		r := newRig(t)
+		r.send(r.now, 1)
+		r.started(key(1), Done)
+		r.now += time.Millisecond
+		r.held(testWorker, HoldAnswer{Active: []Active{{Key: key(1)}}})
+		r.now += time.Millisecond
+		r.actions()
+		r.held(testWorker, HoldAnswer{})
+		got := sortOut(r.actions())
+		r.Assert(got.ends, qt.HasLen, 0)
+		r.Assert(got.holds, qt.HasLen, 1)
+		r.Check(got.holds[0].Wait, qt.Equals, time.Duration(0))
+		r.now += time.Millisecond
+		return r
+	}
+	ends := missed().crash()
+	qt.Assert(t, ends, qt.HasLen, 1)
+	qt.Check(t, ends[0].Crashed, qt.IsTrue)
+
+	r := missed()
+	r.held(testWorker, HoldAnswer{}) // the same life, which does not have the run
+	ends = sortOut(r.actions()).ends
+	r.Assert(ends, qt.HasLen, 1)
+	r.Check(ends[0].Crashed, qt.IsFalse)
+	r.Check(ends[0].Kind, qt.Equals, errkind.WorkerLost)
+}
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -47,14 +47,21 @@
 	m.actions = append(m.actions, Action{Hold: h})
 }
 
-// holdWait is how long a Hold may wait. While a stop is in doubt the lists are
-// wanted at once.
+// holdWait is how long a Hold may wait. While a stop is in doubt or a run is missed the
+// lists are wanted at once.
 func (m *Machine) holdWait(now time.Duration) time.Duration {
+	least := renewEvery
 	for _, r := range m.inOrder() {
-		if r.state == stopping {
-			return retryOrder
+		switch {
+		case r.missed > 0:
+			return 0
+		case r.state == stopping:
+			least = retryOrder
 		}
 	}
+	if least < renewEvery {
+		return least
+	}
 	if m.doubts(now) {
 		return doubtWait
 	}
@@ -165,7 +172,8 @@
 
 // reconcile compares the books with what the worker lists. A run that was there
 // before the Hold was sent, and is neither listed as present nor as ended, is
-// gone; so is one whose stop was confirmed before.
+// gone; so is one whose stop was confirmed before. A worker that crashed while it was asked
+// may have answered in its next life, so that a run that is missed is looked for once more.
 func (m *Machine) reconcile(now time.Duration, active []Active) {
 	listed := make(map[Key]bool, len(active))
 	for _, a := range active {
@@ -178,10 +186,13 @@
 	sent := m.life.holdSent
 	for _, r := range m.inOrder() {
 		if listed[r.key] {
+			r.missed = 0
 			continue
 		}
 		switch {
-		case r.state == running && r.present < sent:
+		case r.state == running && r.present < sent && r.missed == 0:
+			r.missed, m.life.holdAt = now, now
+		case r.state == running && r.missed > 0 && r.missed <= sent:
 			m.end(now, r, wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes})
 		case r.state == stopping && r.stopped > 0 && r.stopped < sent:
 			m.end(now, r, r.why)
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -34,6 +34,7 @@
 	sent     time.Duration // when the last one was
 	answered bool          // its start was answered
 	present  time.Duration // when its start was answered
+	missed   time.Duration // when the worker first listed it neither as present nor as ended; 0 if it did not
 	expect   time.Duration // how long it should run; 0 if that is not known
 	moved    bool          // it may not be given back as slow
 	crashes  int           // of workers under the task, as far as its entry knows
