runs: a worker that has refused a connection while silent counts as crashed

Cause: whether a silent worker has crashed followed from the last of its unanswered orders alone. One that was left out after another had been refused made a silence of the crash, with nothing to blame. Change: a refused connection is remembered until the worker answers again. Test: TestCrashIsNotForgottenWhileTheWorkerIsSilent, red before.

--- a/internal/runs/crash_test.go
+++ b/internal/runs/crash_test.go
@@ -98,3 +98,20 @@
 	r.Check(ends[0].Crashed, qt.IsFalse)
 	r.Check(ends[0].Kind, qt.Equals, errkind.WorkerLost)
 }
+
+// Guards against a crash that is taken for a silence, as the last of the unanswered orders was left out and not refused.
+func TestCrashIsNotForgottenWhileTheWorkerIsSilent(t *testing.T) {
+	r := newRig(t)
+	r.send(r.now, 1)
+	r.started(key(1), Done)
+	r.held(testWorker, HoldAnswer{Active: []Active{{Key: key(1)}}})
+	for i := range 2 * silentHolds {
+		r.actions()
+		r.held(testWorker, HoldAnswer{Verdict: NoAnswer, Gone: i == 0})
+		r.pass(retryOrder)
+	}
+	r.pass(testTiming.Lease + clockSlack)
+	ends := sortOut(r.actions()).ends
+	r.Assert(ends, qt.HasLen, 1)
+	r.Check(ends[0].Crashed, qt.IsTrue)
+}
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -20,7 +20,7 @@
 	strays   bool          // runs of an earlier guard may be there
 	left     bool          // it has announced its end, and may run on for a moment
 	recalled bool          // it has not reported to this guard yet
-	gone     bool          // nothing listened at its address when it was last asked
+	gone     bool          // nothing has listened at its address since it answered last
 
 	holding  bool // a Hold is under way
 	holdSent time.Duration
