httpserve, batchnode: a request that a cut has held up does not begin beside its successor

Cause: the end of the held-up request's connection is the only sign of it, and was waited for 10 ms; the relay passed it on 23 ms after the request. Evidence: 'admitted' and 'job ended outcome=cancelled' at entry-1 13.5 ms apart, 10 ms after the request was first looked at; 'tasks taken' for both entries at guard-1. Change: after a silence of all connections for as long as callers wait, a request on a quiet connection asks the other entries whether they run its job, for 50 ms at most; if one does, it is not begun. Tests: TestHeldUpRequestIsNotBegunBesideItsSuccessor, red without the question; TestRequestAfterAPauseBeginsSoonBesideADarkEntry; TestRequestsAreHeldUpAfterASilenceOfAllConnections.

--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -51,6 +51,7 @@
 type Job struct {
 	ID       string
 	Request  string // the caller's name for this submission, for logs; empty for none
+	HeldUp   bool   // a cut may have held it up, and its caller sent it to another entry
 	Queue    *Queue
 	Text     string // what the tasks are, for the worker
 	Steps    []Step
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -206,6 +206,13 @@
 	if !e.afterWake(ctx) {
 		return nil
 	}
+	if job.HeldUp && e.runsElsewhere(ctx, job.ID) {
+		e.notBegun(job, "another entry runs it")
+		return &batch.Outcome{ID: job.ID, Err: errkind.New(errkind.OutcomeUnknown, "another entry runs the job")}
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
 	w, out := e.begin(job, left)
 	if out != nil {
 		return out
@@ -223,7 +230,11 @@
 // read.
 func (e *Entry) CallerLeft(job *batch.Job) {
 	e.opt.Metrics.Inc(telemetry.CallersGone)
-	e.opt.Log.Info("request not begun", "job", job.ID, "request", job.Request, "cause", "its caller has left")
+	e.notBegun(job, "its caller has left")
+}
+
+func (e *Entry) notBegun(job *batch.Job, cause string) {
+	e.opt.Log.Info("request not begun", "job", job.ID, "request", job.Request, "cause", cause)
 }
 
 func (e *Entry) begin(job *batch.Job, left time.Duration) (*waiter, *batch.Outcome) {
--- a/internal/batchnode/query.go
+++ b/internal/batchnode/query.go
@@ -20,6 +20,8 @@
 	queryTime = 200 * time.Millisecond
 	// queryTries is how many guards are asked in turn, as one may be frozen.
 	queryTries = 2
+	// heldUpTime bounds the wait before a job that may have been held up begins.
+	heldUpTime = 50 * time.Millisecond
 )
 
 // queries are an entry's questions that are under way. The entry's lock covers it.
@@ -90,6 +92,17 @@
 	return s, false
 }
 
+// runsElsewhere tells whether another entry says that a job is under way there.
+func (e *Entry) runsElsewhere(ctx context.Context, id string) bool {
+	if e.alone() {
+		return false
+	}
+	ctx, end := context.WithTimeout(ctx, heldUpTime)
+	defer end()
+	s, _ := e.queryOthers(ctx, id, false, make(map[identity.Incarnation]bool))
+	return s == batch.Queued || s == batch.Running
+}
+
 func (e *Entry) alone() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/batchnode/query_test.go
+++ b/internal/batchnode/query_test.go
@@ -86,3 +86,37 @@
 	}
 	synctest.Wait()
 }
+
+// Guards against two runs of a job at once: a cut heals, and a request that it held up is begun while the job runs at the entry to which its caller has sent it again.
+func TestHeldUpRequestIsNotBegunBesideItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, a, b, w := twoEntries(t)
+		defer f.stop()
+		go a.Submit(f.ctx, testJob("1", 1), 9*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		held := testJob("1", 1)
+		held.HeldUp = true
+		began := time.Now()
+		out := b.Submit(f.ctx, held, 9*time.Second)
+		f.Assert(out, qt.IsNotNil)
+		f.Check(out.Err.Kind, qt.Equals, errkind.OutcomeUnknown)
+		f.Check(out.Err.Ran, qt.Equals, errkind.RanUnknown)
+		f.Check(time.Since(began) < 20*time.Millisecond, qt.IsTrue)
+		f.Check(w.running(), qt.Equals, 1)
+	})
+}
+
+// Guards against callers who wait long for an entry that is dark, after a pause of all of them.
+func TestRequestAfterAPauseBeginsSoonBesideADarkEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, b, w := twoEntries(t)
+		defer f.stop()
+		f.kill("a")
+		time.Sleep(100 * time.Millisecond)
+		job := testJob("1", 1)
+		job.HeldUp = true
+		go b.Submit(f.ctx, job, 9*time.Second)
+		time.Sleep(heldUpTime + 10*time.Millisecond)
+		f.Check(w.running(), qt.Equals, 1)
+	})
+}
--- a/internal/httpserve/leave_test.go
+++ b/internal/httpserve/leave_test.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -49,3 +50,31 @@
 	qt.Check(t, left, qt.IsFalse)
 	qt.Check(t, paused, qt.IsFalse)
 }
+
+// Guards against a request that a cut held up being taken for a new one, and against a delay of requests on one connection that was quiet while others were in use.
+func TestRequestsAreHeldUpAfterASilenceOfAllConnections(t *testing.T) {
+	const resend = time.Second
+	c := NewLeaveCheck(resend)
+	now := time.Since(started)
+	request := func(quiet time.Duration) *http.Request {
+		p := new(peer)
+		p.answered.Store(int64(now - quiet))
+		r, err := http.NewRequestWithContext(context.WithValue(t.Context(), peerKey{}, p), http.MethodPost, "/", nil)
+		qt.Assert(t, err, qt.IsNil)
+		return r
+	}
+	for _, k := range []struct {
+		silence, quiet time.Duration
+		heldUp         bool
+	}{
+		{silence: resend, quiet: resend, heldUp: true},
+		{silence: resend, quiet: resend / 2}, // a new connection
+		{silence: resend / 2, quiet: resend},
+	} {
+		c.newest.Store(int64(now - k.silence))
+		c.returned.Store(int64(now - time.Hour))
+		c.noteArrival(now)
+		c.noteArrival(now + time.Microsecond) // the next one of the same burst
+		qt.Check(t, c.HeldUp(request(k.quiet)), qt.Equals, k.heldUp, qt.Commentf("%+v", k))
+	}
+}
