cli: a process of the platform ignores the signal for changed settings from its first line on

No caller was cut off: the process had not begun to listen; it was away for another 0.15 s. Cause: a signal has its default until a program says otherwise, and an entry did so only after the parsing of its command line, a guard after reading its settings. Evidence: 'entry stopped' at 55.165, the end by the signal at 55.296, 'entry starts' of the next one at 55.437; the soak starts a process 100 ms after the last one's end. Change: both programs ignore it first of all when they run on the platform. Test: TestHangupIsIgnoredBeforeTheSettingsAreRead, red before for the guard.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,6 +51,7 @@
 
 // Main runs the command line of the entry binary and returns its exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	ignoreHangup(args, "platform")
 	var c commands
 	k, err := parse(&c, "wigeontray", "A shared dispatcher for short urgent requests.", args, stdout, stderr)
 	if err != nil {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -77,3 +80,24 @@
 	qt.Assert(t, code, qt.Equals, operator.ExitOK, qt.Commentf("%s", errs))
 	qt.Assert(t, strings.Count(out, `"state":"complete"`), qt.Equals, 2)
 }
+
+// Guards against a process of the platform that is ended by a signal for changed settings while it starts.
+func TestHangupIsIgnoredBeforeTheSettingsAreRead(t *testing.T) {
+	t.Setenv(configEnv, "no-such-file.ini")
+	for _, start := range []func() int{
+		func() int { return Main(t.Context(), []string{"platform"}, io.Discard, io.Discard) },
+		func() int { return GuardMain(t.Context(), []string{"--platform"}, io.Discard, io.Discard) },
+	} {
+		forgetIgnored()
+		qt.Check(t, start() != operator.ExitOK, qt.IsTrue)
+		qt.Check(t, signal.Ignored(syscall.SIGHUP), qt.IsTrue)
+	}
+	forgetIgnored()
+}
+
+// forgetIgnored gives the signal its default; signal.Reset would leave it ignored.
+func forgetIgnored() {
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, syscall.SIGHUP)
+	signal.Stop(caught)
+}
--- a/internal/cli/guard.go
+++ b/internal/cli/guard.go
@@ -23,6 +23,7 @@
 // GuardMain runs the command line of the guard binary and returns its exit
 // code. The guard serves until SIGTERM asks for a planned stop.
 func GuardMain(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	ignoreHangup(args, "--platform")
 	var c guardCommand
 	const name = "wigeontray-guard"
 	_, err := parse(&c, name, "Runs beside one upstream, announces it to the entries and runs their tasks on it.", args, stdout, stderr)
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"wigeontray/internal/settings"
@@ -22,12 +23,18 @@
 
 // Run serves callers until a signal asks for a planned stop.
 func (c *platformCmd) Run(e *env) error {
-	// A changed settings file is read at the next start; the signal must not end
-	// the process.
-	signal.Ignore(syscall.SIGHUP)
 	return runPlatform(e.ctx, platform.RunEntry, c.Config, e.stdout)
 }
 
+// ignoreHangup keeps the signal for changed settings from ending a process of the platform
+// that starts. It comes before all else: until then the signal has its default. An entry reads
+// the settings at its next start; a guard catches the signal later on.
+func ignoreHangup(args []string, platform string) {
+	if slices.Contains(args, platform) {
+		signal.Ignore(syscall.SIGHUP)
+	}
+}
+
 // runPlatform runs one of the platform's roles. Its logs go to standard output.
 func runPlatform(ctx context.Context, role func(context.Context, string, io.Writer) error, config string, logs io.Writer) error {
 	ctx, stop := untilSignal(ctx)
