--- a/internal/batch/load_test.go
+++ b/internal/batch/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -283,15 +284,28 @@
 	return l.resultsOf(t, *loadSeeds, off...)
 }
 
+// playsAtOnce bounds the plays of one load that go on beside each other; each has its own clock.
+const playsAtOnce = 4
+
 // resultsOf is the same with a number of seeds.
-func (l load) resultsOf(t *testing.T, seeds uint64, off ...policy.Mechanism) (list []*loadResult) {
+func (l load) resultsOf(t *testing.T, seeds uint64, off ...policy.Mechanism) []*loadResult {
 	l.length, l.off = loadLength, policy.Of(off...)
-	for seed := range seeds {
-		l.seed = seed + 1
-		r := l.play()
+	list := make([]*loadResult, seeds)
+	slots := make(chan struct{}, playsAtOnce)
+	var plays sync.WaitGroup
+	for i := range list {
+		l.seed = uint64(i) + 1
+		play := l.play
+		plays.Go(func() {
+			slots <- struct{}{}
+			list[i] = play()
+			<-slots
+		})
+	}
+	plays.Wait()
+	for i, r := range list {
 		qt.Assert(t, r.broken, qt.HasLen, 0)
-		t.Logf("load %.2f, seed %d: %s", l.ofRoom, l.seed, r)
-		list = append(list, r)
+		t.Logf("load %.2f, seed %d: %s", l.ofRoom, i+1, r)
 	}
 	return list
 }
