--- a/internal/batch/load_test.go
+++ b/internal/batch/load_test.go
@@ -27,6 +27,7 @@
 	run      time.Duration
 	patience time.Duration // of its callers
 	text     int           // bytes that tell what its tasks are
+	shorter  float64       // by how much its callers' estimates are too short; 0 for not at all
 }
 
 // deskMix is the mix of a ticket desk: holds of a few seats each that are most urgent,
@@ -64,6 +65,7 @@
 	// of the length on, for half of it.
 	unanswered  float64
 	slowAnswers time.Duration // by how much later workers answer
+	shifts      []requestKind // the mix after a third of the length; nil for the same throughout
 	linkRate    float64       // of an entry's link in each direction, in bytes a second; 0 for no bound
 }
 
@@ -95,10 +97,11 @@
 
 // loadResult is what a load gave.
 type loadResult struct {
-	kinds  []tally
-	busy   float64 // part of the workers' room that was at work
-	wasted float64 // part of the work done that served no caller in time
-	broken []string
+	kinds   []tally
+	shifted []tally // by shiftWindow since the mix has shifted
+	busy    float64 // part of the workers' room that was at work
+	wasted  float64 // part of the work done that served no caller in time
+	broken  []string
 
 	crashes       int           // of workers
 	wronged       int           // jobs that were told to have failed, and would not have
@@ -137,10 +140,21 @@
 	mix := deskMix()
 	r := &loadResult{kinds: make([]tally, len(mix))}
 	n := 0
-	l.arrive(s, start, mix, func(which int) {
+	ask := func(kinds []requestKind, which int, t *tally) {
 		n++
-		s.ask(fmt.Sprintf("%016x", n), &mix[which], &r.kinds[which])
-	})
+		s.ask(fmt.Sprintf("%016x", n), &kinds[which], t)
+	}
+	before := l
+	if l.shifts != nil {
+		before.length = l.length / 3
+		after, shifted := l, start+before.length
+		after.length -= before.length
+		r.shifted = make([]tally, after.length/shiftWindow+1)
+		after.arrive(s, shifted, l.shifts, func(which int) {
+			ask(l.shifts, which, &r.shifted[(s.now-shifted)/shiftWindow])
+		})
+	}
+	before.arrive(s, start, mix, func(which int) { ask(mix, which, &r.kinds[which]) })
 	for i := range l.slow + l.hang {
 		w := s.workers[i]
 		s.at(start+l.length/4, func() {
@@ -232,7 +246,7 @@
 	return batch.Step{
 		Count:    max(1, int(math.Round(float64(k.tasks)*around(0.4)))),
 		Need:     sched.Room{CPU: int64(float64(k.cpu) * (0.6 + 0.8*s.rng.Float64())), MemoryMB: 64},
-		Estimate: time.Duration(float64(took) * (0.7 + 0.8*s.rng.Float64())),
+		Estimate: time.Duration(float64(took) * (0.7 + 0.8*s.rng.Float64()) / max(1, k.shorter)),
 	}, took
 }
 
