--- a/internal/batch/loadrules_test.go
+++ b/internal/batch/loadrules_test.go
@@ -9,9 +9,7 @@
 	"wigeontray/internal/policy"
 )
 
-// More is asked for than the workers can do. Bookings that were begun in part held
-// their room while the rest of them waited behind checks and holds; they ended too late,
-// and so did what had waited for that room.
+// Guards against jobs that are begun in part and hold their room while the rest of them waits behind more urgent ones.
 func TestLoadNearFullRoomWastesLittleWithWholeStarts(t *testing.T) {
 	for _, ofRoom := range []float64{1.0, 1.25} {
 		// Alone: the other rules for shortage keep some of these jobs away.
@@ -22,9 +20,7 @@
 	}
 }
 
-// More is asked for than the workers can do. Jobs that waited until the last moment at
-// which they could still end in time took their room then, and ended just too late: their
-// callers waited, and so did those whose room they took.
+// Guards against jobs that begin at the last moment at which they could end in time, and end just too late.
 func TestLoadNearFullRoomGainsFromRefusingWhatWaitedTooLong(t *testing.T) {
 	for _, ofRoom := range []float64{1.0, 1.25} {
 		served, wasted := meanOf(t, ofRoom, policy.UrgentOffers)
@@ -34,15 +30,13 @@
 	}
 }
 
-// At half of the room nobody has to wait, and nearly every request is served in time.
+// Guards against waiting and refusals while half of the room is free.
 func TestLoadOfHalfTheRoomIsServedInTime(t *testing.T) {
 	served, _ := meanOf(t, 0.5)
 	qt.Check(t, served > 0.97, qt.IsTrue, qt.Commentf("%.3f", served))
 }
 
-// More is asked for than the workers can do. Room that became free went to entries in
-// turn, whatever waited there, and was held for tasks that had found a place meanwhile;
-// urgent requests waited at one entry while checks were begun at another.
+// Guards against urgent requests that wait at one entry while less urgent ones begin at another.
 func TestLoadBeyondRoomServesTheMostUrgentFirstAcrossEntries(t *testing.T) {
 	inTime := func(off ...policy.Mechanism) float64 {
 		return mean(load{ofRoom: 1.6}.results(t, off...), func(r *loadResult) float64 {
@@ -53,9 +47,7 @@
 	qt.Check(t, with > without+0.05, qt.IsTrue, qt.Commentf("%.3f, %.3f without", with, without))
 }
 
-// Two of ten workers turn five times slower while there is room to spare. Noticed only by
-// the ends of their runs, they went on getting a fifth of the tasks for seconds, and every
-// job with one of these was late: a school party waits in the snow for its answer.
+// Guards against workers that have turned slow and go on getting tasks until their runs end.
 func TestLoadWithSlowWorkersIsServedInTime(t *testing.T) {
 	missed := func(off ...policy.Mechanism) float64 {
 		return 1 - mean(load{ofRoom: 0.5, slow: 2}.results(t, off...), (*loadResult).served)
@@ -64,9 +56,7 @@
 	qt.Check(t, with < 0.6*without, qt.IsTrue, qt.Commentf("%.3f, %.3f without", with, without))
 }
 
-// Workers leave one order in twenty unanswered. A guard that asked for the ends of its
-// runs got no answer and asked again a tenth of a second later; holds of eight short tasks
-// at as many workers were late, and so were those whose start had no answer.
+// Guards against ends of runs that are seen late, as the worker has left out the answer that told of them.
 func TestLoadWithUnansweredOrdersIsServedInTime(t *testing.T) {
 	missed := func(off ...policy.Mechanism) float64 {
 		return 1 - mean(load{ofRoom: 0.5, unanswered: 0.05}.results(t, off...), (*loadResult).served)
@@ -89,9 +79,7 @@
 	qt.Check(t, got > 0.9, qt.IsTrue, qt.Commentf("%.3f", got))
 }
 
-// What runs on two of ten workers stands still, and both answer as ever. Each run was given
-// the time in which a merely slow one would advance, and workers that hang, which have the
-// most room, drew new ones meanwhile.
+// Guards against workers on which everything stands still and which draw new tasks, as they have the most room.
 func TestLoadWithWorkersThatHangIsServedInTime(t *testing.T) {
 	missed := func(off ...policy.Mechanism) float64 {
 		return 1 - mean(load{ofRoom: 0.5, hang: 2}.results(t, off...), (*loadResult).served)
