runs: a run that was being stopped when its worker crashed is blamed as possible only

What callers would see: a job told to have failed by a crash after the end of its run. Cause: a confirmed stop whose end is not listed yet counted as a run that was there. Test: TestRunThatWasBeingStoppedIsNotBlamedForCertain, red before. holdWait is one switch, same results.

--- a/internal/httpserve/leave.go
+++ b/internal/httpserve/leave.go
@@ -60,8 +60,8 @@
 	c.newest.Store(int64(now))
 }
 
-// HeldUp tells whether a cut has probably held up a request of which Left has said that its
-// caller is there: nothing came over any connection for so long, and then this one did.
+// HeldUp tells whether a cut has probably held up a request whose caller has not been seen to
+// leave: it is one of the first after a silence of all connections.
 func (c *LeaveCheck) HeldUp(r *http.Request) bool {
 	return peerQuiet(r) >= c.heldUpAfter && time.Since(started)-time.Duration(c.returned.Load()) < returnTime
 }
--- a/internal/runs/crash.go
+++ b/internal/runs/crash.go
@@ -19,9 +19,9 @@
 )
 
 // blameRuns tells which runs may have caused a crash of the worker: all that the worker may have
-// taken, also those whose start has no answer, as it may have crashed before it could answer. Only
-// a run that was there for certain counts towards the end of its job as failed, and beside one
-// that was suspected of an earlier crash only that one.
+// taken, also those whose start has no answer, as it may have crashed before it could answer, and
+// those that were being stopped. Only a run that was there for certain counts towards the end of
+// its job as failed, and beside one that was suspected of an earlier crash only that one.
 func (m *Machine) blameRuns() map[Key]blame {
 	blamed, suspects := make(map[Key]blame), false
 	for _, r := range m.runs {
@@ -30,7 +30,7 @@
 	for k, r := range m.runs {
 		switch {
 		case r.state == awaiting:
-		case r.answered && (r.crashes > 0 || !suspects) && m.ranToTheCrash(r):
+		case r.state == running && (r.crashes > 0 || !suspects) && m.ranToTheCrash(r):
 			blamed[k] = certain
 		default:
 			blamed[k] = possible
--- a/internal/runs/crash_test.go
+++ b/internal/runs/crash_test.go
@@ -161,3 +161,17 @@
 	r.Assert(ends, qt.HasLen, 1)
 	r.Check(ends[0].Crashed, qt.IsTrue)
 }
+
+// Guards against a crash that counts against a run which had been stopped before.
+func TestRunThatWasBeingStoppedIsNotBlamedForCertain(t *testing.T) {
+	r := crashRig(t, 0)
+	r.started(key(1), Done)
+	r.m.StopJob(r.now, testEntry, &wire.StopRuns{ClockMs: r.now.Milliseconds(), Job: "job"})
+	r.m.Stopped(r.now, key(1), Done, r.clockMs())
+	ends := r.crash()
+	r.Assert(ends, qt.HasLen, 2)
+	for _, e := range ends {
+		r.Check(e.Crashed, qt.IsFalse)
+		r.Check(e.Suspected, qt.IsTrue)
+	}
+}
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -50,19 +50,17 @@
 // holdWait is how long a Hold may wait. While a stop is in doubt or a run is missed the
 // lists are wanted at once.
 func (m *Machine) holdWait(now time.Duration) time.Duration {
-	least := renewEvery
-	for _, r := range m.inOrder() {
-		switch {
-		case r.missed > 0:
+	stops := false
+	for _, r := range m.runs {
+		if r.missed > 0 {
 			return 0
-		case r.state == stopping:
-			least = retryOrder
 		}
+		stops = stops || r.state == stopping
 	}
-	if least < renewEvery {
-		return least
-	}
-	if m.doubts(now) {
+	switch {
+	case stops:
+		return retryOrder
+	case m.doubts(now):
 		return doubtWait
 	}
 	return renewEvery
