runs, platform: a worker's start is identified by its ID and start time

Callers saw: a worker that restarts under the ID that it had was taken for its earlier start. Its drains, capacities and labels were passed over until its reports had passed the old sequence number; ends that it listed under numbers that the earlier start had used were lost, so that a task that was done was reported as lost and started again; its orders carried a lease on the old clock and could be fenced off for hours.

Cause: runs compared the ID alone.

The entry kept quarantine and capacity over such a restart (TestRestartedWorkerGetsANewHealthRecord).

The answer to a Hold tells which start is present. A new start under the same ID is taken over with a greater fencing token (start time plus clock), so that it refuses earlier orders; what it lists goes on, the rest has ended. Where workers state no start time, nothing changes. Records and frames of the build before are still read.

--- a/internal/batch/admit_test.go
+++ b/internal/batch/admit_test.go
@@ -16,7 +16,7 @@
 	m := New(0, Options{Seed: 1})
 	m.AddGuard(0, &wire.RunHello{
 		Incarnation: "g0",
-		Worker:      wire.RunWorker{ID: "w", Service: "s", Capacity: sched.Resources{CPU: 40_000}, Usable: true},
+		Worker:      wire.RunWorker{WorkerInstance: wire.WorkerInstance{ID: "w"}, Service: "s", Capacity: sched.Resources{CPU: 40_000}, Usable: true},
 		Load:        wire.RunLoad{Free: sched.Resources{CPU: 40_000}},
 	})
 	return m
@@ -37,7 +37,7 @@
 	afterDelay := neverFitsDelay + time.Second
 	err := m.Submit(afterDelay, testJob("huge", 1, 41_000))
 	qt.Assert(t, IsFinalFailure(err), qt.IsTrue)
-	m.HandleBeat(afterDelay, "g0", &wire.GuardHeartbeat{Worker: &wire.RunWorker{ID: "w", Service: "s", Capacity: sched.Resources{CPU: 40_000}, Leaving: true}})
+	m.HandleBeat(afterDelay, "g0", &wire.GuardHeartbeat{Worker: &wire.RunWorker{WorkerInstance: wire.WorkerInstance{ID: "w"}, Service: "s", Capacity: sched.Resources{CPU: 40_000}, Leaving: true}})
 	err = m.Submit(afterDelay, testJob("fits", 1, 4000))
 	qt.Assert(t, IsFinalFailure(err), qt.IsFalse)
 	qt.Assert(t, err.After > 0, qt.IsTrue)
--- a/internal/batch/advertise_test.go
+++ b/internal/batch/advertise_test.go
@@ -20,7 +20,7 @@
 		m.AddGuard(0, &wire.RunHello{
 			Incarnation: identity.Incarnation(fmt.Sprint("g", i)),
 			Worker: wire.RunWorker{
-				ID: fmt.Sprint("w", i), Service: "s", Domain: fmt.Sprint("d", i%5), Capacity: sched.Resources{CPU: 64_000}, Usable: true,
+				WorkerInstance: wire.WorkerInstance{ID: fmt.Sprint("w", i)}, Service: "s", Domain: fmt.Sprint("d", i%5), Capacity: sched.Resources{CPU: 64_000}, Usable: true,
 			},
 		})
 	}
--- a/internal/batch/bench_test.go
+++ b/internal/batch/bench_test.go
@@ -25,7 +25,7 @@
 	hello := func(i int) *wire.RunHello {
 		return &wire.RunHello{
 			Incarnation: identity.Incarnation(fmt.Sprint("g", i)),
-			Worker:      wire.RunWorker{ID: fmt.Sprint("w", i), Service: "s", Domain: fmt.Sprint(i % 5), Capacity: sched.Resources{CPU: 64_000}, Usable: true},
+			Worker:      wire.RunWorker{WorkerInstance: wire.WorkerInstance{ID: fmt.Sprint("w", i)}, Service: "s", Domain: fmt.Sprint(i % 5), Capacity: sched.Resources{CPU: 64_000}, Usable: true},
 			Load:        wire.RunLoad{Free: sched.Resources{CPU: 2000}},
 		}
 	}
--- a/internal/batch/drain_test.go
+++ b/internal/batch/drain_test.go
@@ -67,7 +67,7 @@
 	room := sched.Resources{CPU: 8000, MemoryMB: 1000}
 	return &wire.RunHello{
 		Version: wire.Version, Incarnation: name,
-		Worker: wire.RunWorker{ID: "w-" + string(name), Service: "svc", Domain: domain, Capacity: room, Usable: true},
+		Worker: wire.RunWorker{WorkerInstance: wire.WorkerInstance{ID: "w-" + string(name)}, Service: "svc", Domain: domain, Capacity: room, Usable: true},
 		Load:   wire.RunLoad{ClockMs: 1, Free: room},
 	}
 }
--- a/internal/batch/simcaller_test.go
+++ b/internal/batch/simcaller_test.go
@@ -145,7 +145,7 @@
 		g := s.guards[i]
 		w.seq++
 		rep := &runs.Report{
-			ID: w.id, Seq: w.seq, ClockMs: w.clock().Milliseconds(), Service: "svc", Domain: domainOf(i),
+			WorkerInstance: w.instance, Seq: w.seq, ClockMs: w.clock().Milliseconds(), Service: "svc", Domain: domainOf(i),
 			Capacity: w.capacity,
 		}
 		if !g.hasExited {
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -9,6 +9,7 @@
 	"wigeontray/internal/policy"
 	"wigeontray/internal/runs"
 	"wigeontray/internal/sched"
+	"wigeontray/internal/wire"
 )
 
 // simWorker runs tasks under leases as the platform's workers do.
@@ -16,8 +17,8 @@
 	s             *sim
 	name          string
 	number        int
-	generation    int    // number of its current incarnation
-	id            string // ID of its current incarnation
+	generation    int                 // number of its current incarnation
+	instance      wire.WorkerInstance // its current incarnation
 	isUp          bool
 	seq           int64
 	startedAt     time.Duration
@@ -60,7 +61,7 @@
 // reset starts a new incarnation.
 func (w *simWorker) reset() {
 	w.generation++
-	w.id, w.isUp, w.startedAt = fmt.Sprintf("%s-%d", w.name, w.generation), true, w.s.now-time.Duration(w.number)*time.Second
+	w.instance, w.isUp, w.startedAt = wire.WorkerInstance{ID: fmt.Sprintf("%s-%d", w.name, w.generation)}, true, w.s.now-time.Duration(w.number)*time.Second
 	w.capacity = sched.Resources{CPU: 16000, MemoryMB: 4096}
 	w.token, w.leaseEnd, w.seq = 0, 0, 0
 	w.active, w.highestRun = make(map[runs.Key]*simRun), make(map[string]int64)
@@ -98,7 +99,7 @@
 	switch {
 	case !w.isUp:
 		return runs.NoAnswer
-	case l.Worker != w.id:
+	case l.Worker.ID != w.instance.ID:
 		return runs.WrongInstance
 	case l.Token < w.token:
 		return runs.FencedOff
@@ -171,11 +172,11 @@
 		inUse = inUse.Plus(r.need)
 	}
 	if !w.capacity.Minus(inUse).CanFit(step.Need) {
-		s.addViolation("worker %s received a task for which it has no room", w.id)
+		s.addViolation("worker %s received a task for which it has no room", w.instance)
 		return runs.NoRoom
 	}
 	if other, isRunning := s.running[task]; isRunning {
-		s.addViolation("task %s was started at %s while it was running at %s", task, w.id, other)
+		s.addViolation("task %s was started at %s while it was running at %s", task, w.instance, other)
 	}
 	s.checkDrain(w, task)
 	if job.refused {
@@ -183,7 +184,7 @@
 	}
 	s.counts.starts++
 	job.hasStarted = true
-	s.running[task] = w.id
+	s.running[task] = w.instance.ID
 	w.highestRun[task] = k.Run
 	runTime := time.Duration(float64(step.Estimate) * (0.7 + 0.8*s.rng.Float64()))
 	if job.runTime > 0 {
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -118,14 +118,15 @@
 // incarnation.
 func (m *Machine) setWorker(g *guard, w *wire.RunWorker) {
 	previous := g.worker
-	if w.ID != previous.ID {
+	isNew := w.WorkerInstance != previous.WorkerInstance
+	if isNew {
 		g.health, g.isQuarantined = sched.Health{}, false
 		m.workers[g.position].MaxOwnTasks = 0
 		g.maxCapacity = sched.Resources{}
 	}
 	g.worker = *w
 	g.maxCapacity = g.maxCapacity.Max(w.Capacity)
-	if w.ID != previous.ID || !previous.Usable || !previous.Cold {
+	if isNew || !previous.Usable || !previous.Cold {
 		m.limitColdWorker(g)
 	}
 	view := &m.workers[g.position]
--- a/internal/batch/slow_test.go
+++ b/internal/batch/slow_test.go
@@ -25,7 +25,7 @@
 }
 
 func testWorker(i int, isSlow bool) wire.RunWorker {
-	return wire.RunWorker{ID: fmt.Sprint("w", i), Service: "s", Capacity: sched.Resources{CPU: 40_000}, Usable: true, Slow: isSlow}
+	return wire.RunWorker{WorkerInstance: wire.WorkerInstance{ID: fmt.Sprint("w", i)}, Service: "s", Capacity: sched.Resources{CPU: 40_000}, Usable: true, Slow: isSlow}
 }
 
 // Guards against tasks sent to a worker that its guard reports as slow. The worker is
@@ -48,6 +48,20 @@
 	qt.Check(t, m.workers[0].MaxOwnTasks, qt.Equals, 1)
 }
 
+// Guards against a worker that stays quarantined, or trusted with its earlier capacity, after it has
+// restarted under its ID between two heartbeats of its guard.
+func TestRestartedWorkerGetsANewHealthRecord(t *testing.T) {
+	m := newFleet(3)
+	w := testWorker(0, true)
+	w.StartMs = 1000
+	m.HandleBeat(0, "g0", &wire.GuardHeartbeat{Worker: &w})
+	qt.Assert(t, m.Workers(), qt.Equals, 2)
+	w.StartMs, w.Slow, w.Capacity.CPU = 2000, false, 10_000
+	m.HandleBeat(0, "g0", &wire.GuardHeartbeat{Worker: &w})
+	qt.Check(t, m.Workers(), qt.Equals, 3)
+	qt.Check(t, m.guards[0].maxCapacity.CPU, qt.Equals, int64(10_000))
+}
+
 // Guards against a service without usable workers when all of them seem slow, because the
 // callers' estimates have changed or the workers are overloaded.
 func TestHalfOfTheWorkersStayUsableIfAllAreSlow(t *testing.T) {
--- a/internal/batch/uplink_test.go
+++ b/internal/batch/uplink_test.go
@@ -102,7 +102,7 @@
 	for i := range guards {
 		m.AddGuard(0, &wire.RunHello{
 			Version: wire.Version, Incarnation: guardID(i), Texts: "texts of " + string(guardID(i)),
-			Worker: wire.RunWorker{ID: "w", Service: testQueue.Service, Capacity: sched.Resources{CPU: 8000}, Usable: true},
+			Worker: wire.RunWorker{WorkerInstance: wire.WorkerInstance{ID: "w"}, Service: testQueue.Service, Capacity: sched.Resources{CPU: 8000}, Usable: true},
 			Load:   wire.RunLoad{Free: sched.Resources{CPU: 8000}},
 		})
 	}
@@ -164,7 +164,7 @@
 	m := New(0, Options{Seed: 1})
 	m.AddGuard(0, &wire.RunHello{
 		Version: wire.PackedTextVersion - 1, Incarnation: "old",
-		Worker: wire.RunWorker{ID: "w", Service: testQueue.Service, Capacity: sched.Resources{CPU: 8000}, Usable: true},
+		Worker: wire.RunWorker{WorkerInstance: wire.WorkerInstance{ID: "w"}, Service: testQueue.Service, Capacity: sched.Resources{CPU: 8000}, Usable: true},
 		Load:   wire.RunLoad{Free: sched.Resources{CPU: 8000}},
 	})
 	j := longJob("j", 1)
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -75,7 +75,7 @@
 	e.links[hello.Incarnation] = link
 	e.opt.Metrics.Inc(telemetry.LinksOpened)
 	e.opt.Metrics.Set(telemetry.Guards, int64(len(e.links)))
-	e.opt.Log.Info("guard linked", "guard", hello.Incarnation, "worker", hello.Worker.ID, "usable", hello.Worker.Usable)
+	e.opt.Log.Info("guard linked", "guard", hello.Incarnation, "worker", hello.Worker.WorkerInstance, "usable", hello.Worker.Usable)
 	e.sendToGuard(hello.Incarnation, &wire.Frame{RunWelcome: &wire.RunWelcome{
 		Version: wire.Version, Incarnation: e.id, Revision: e.configVersion,
 		Entries: e.known, Software: telemetry.Version,
@@ -122,7 +122,7 @@
 		e.stepLocked(func(now time.Duration, m *batch.Machine) { m.HandleRunsEnded(now, hello.Incarnation, f.RunsEnded) })
 	case f.GuardHeartbeat != nil:
 		if w := f.GuardHeartbeat.Worker; w != nil {
-			e.opt.Log.Info("worker changed", "guard", hello.Incarnation, "worker", w.ID, "usable", w.Usable, "leaving", w.Leaving)
+			e.opt.Log.Info("worker changed", "guard", hello.Incarnation, "worker", w.WorkerInstance, "usable", w.Usable, "leaving", w.Leaving)
 		}
 		e.stepLocked(func(now time.Duration, m *batch.Machine) { m.HandleBeat(now, hello.Incarnation, f.GuardHeartbeat) })
 	case f.WorkerCrash != nil:
--- a/internal/batchnode/fleet_test.go
+++ b/internal/batchnode/fleet_test.go
@@ -172,7 +172,7 @@
 func (w *worker) clockMs() int64 { return w.f.clock().Milliseconds() }
 
 func (w *worker) report() *runs.Report {
-	return &runs.Report{ID: "worker-1", Seq: 1, ClockMs: w.clockMs(), Service: "svc", Capacity: sched.Resources{CPU: 8000}}
+	return &runs.Report{WorkerInstance: wire.WorkerInstance{ID: "worker-1"}, Seq: 1, ClockMs: w.clockMs(), Service: "svc", Capacity: sched.Resources{CPU: 8000}}
 }
 
 func (w *worker) Start(_ context.Context, s *runs.Start) runs.StartAnswer {
--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -29,7 +29,8 @@
 	Name       string   // process name, part of the incarnation
 	Entries    []string // initial addresses of entries
 	Worker     Worker
-	Timing     runs.Timing // the default if zero
+	Timing     runs.Timing   // the default if zero
+	MaxLease   time.Duration // longest lease that the worker accepts; the default if zero
 	Clock      Clock
 	Metrics    *telemetry.Registry
 	Log        *log.Logger
@@ -79,6 +80,7 @@
 	hasReport           bool                     // the worker has sent a report to this process
 	unsavedReport       chan *runs.Report        // holds at most one
 	lastQueuedReport    *runs.Report             // last report that was saved or is in unsavedReport
+	lastRejected        wire.WorkerInstance      // of the last report that was passed over
 	isDrainComplete     bool                     // the worker is drained and its last run has ended
 	goroutines          sync.WaitGroup
 }
@@ -91,7 +93,7 @@
 	g := &Guard{
 		opt:           opt,
 		id:            identity.NewIncarnation(opt.Name),
-		machine:       runs.New(runs.Options{Timing: opt.Timing, Disabled: policy.Linked()}),
+		machine:       runs.New(runs.Options{Timing: opt.Timing, MaxLease: opt.MaxLease, Disabled: policy.Linked()}),
 		links:         make(map[identity.Incarnation]*guardLink),
 		dialing:       make(map[string]bool),
 		changed:       make(chan struct{}, 1),
@@ -136,8 +138,8 @@
 		g.execute(&action)
 	}
 	g.updateDrainComplete()
-	if w := g.machine.Worker(); w.ID != before.ID || w.Usable != before.Usable || w.Leaving != before.Leaving {
-		g.opt.Log.Info("worker changed", "worker", w.ID, "usable", w.Usable, "leaving", w.Leaving, "cpu", w.Capacity.CPU)
+	if w := g.machine.Worker(); w.WorkerInstance != before.WorkerInstance || w.Usable != before.Usable || w.Leaving != before.Leaving {
+		g.opt.Log.Info("worker changed", "worker", w.WorkerInstance, "usable", w.Usable, "leaving", w.Leaving, "cpu", w.Capacity.CPU)
 	}
 	g.deadlineTimer.set(g.machine.NextTick())
 	select {
@@ -148,6 +150,8 @@
 
 func (g *Guard) execute(action *runs.Action) {
 	switch {
+	case action.RejectedReport != nil:
+		g.noteRejectedReport(action.RejectedReport)
 	case action.Fetch != nil:
 		go g.fetchText(action.Fetch)
 	case action.Start != nil:
@@ -167,6 +171,17 @@
 	}
 }
 
+// noteRejectedReport counts a report whose instance is not at the worker's address, and logs it once
+// for each instance.
+func (g *Guard) noteRejectedReport(rep *runs.Report) {
+	g.opt.Metrics.Inc(telemetry.MalformedItems)
+	if g.lastRejected == rep.WorkerInstance {
+		return
+	}
+	g.lastRejected = rep.WorkerInstance
+	g.opt.Log.Warn("report of another worker instance passed over", "reported", rep.WorkerInstance, "worker", g.machine.Worker().WorkerInstance)
+}
+
 // logFailedRuns logs one line for each run that ended without success. A refusal for lack of
 // capacity is normal operation: the entry places the task on another worker.
 func (g *Guard) logFailedRuns(entry identity.Incarnation, r *wire.RunsEnded) {
--- a/internal/batchnode/memory.go
+++ b/internal/batchnode/memory.go
@@ -87,7 +87,7 @@
 
 // sameWorkerState reports whether two reports agree in all that a restarted guard needs.
 func sameWorkerState(a, b *runs.Report) bool {
-	return a.ID == b.ID && a.Draining == b.Draining && a.Capacity == b.Capacity &&
+	return a.WorkerInstance == b.WorkerInstance && a.Draining == b.Draining && a.Capacity == b.Capacity &&
 		a.Service == b.Service && a.Domain == b.Domain && slices.Equal(a.Labels, b.Labels)
 }
 
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -40,9 +40,9 @@
 
 // Report is a status report of a worker.
 type Report struct {
-	ID       string // identifies one instance of the worker; a restart makes a new one
-	Seq      int64  // increases with each report of the instance
-	ClockMs  int64  // the worker's clock, in milliseconds
+	wire.WorkerInstance
+	Seq      int64 // increases with each report of the instance
+	ClockMs  int64 // the worker's clock, in milliseconds
 	Draining bool
 	Service  string
 	Domain   string // failure domain
@@ -74,6 +74,8 @@
 		return errors.New("report without service")
 	case r.Domain == "":
 		return errors.New("report without failure domain")
+	case r.StartMs < 0:
+		return fmt.Errorf("report with a start time of %d ms", r.StartMs)
 	case r.Seq < 0:
 		return fmt.Errorf("report with number %d", r.Seq)
 	case r.ClockMs <= 0:
@@ -87,9 +89,9 @@
 
 // Lease is the part that all requests to the worker have in common.
 type Lease struct {
-	Worker  string // ID of the addressed worker instance; any other one refuses
-	Token   int64  // fencing token
-	UntilMs int64  // end of the lease on the worker's clock; 0 leaves it unchanged
+	Worker  wire.WorkerInstance // the addressed instance; a worker with another ID refuses
+	Token   int64               // fencing token
+	UntilMs int64               // end of the lease on the worker's clock; 0 leaves it unchanged
 }
 
 // Start requests that the worker start a run. Pass the answer to
@@ -136,6 +138,10 @@
 // Action is a request that the owner of a Machine must carry out. Exactly one field is
 // set.
 type Action struct {
+	// RejectedReport is a report whose instance is not at the worker's address. It was delayed, or
+	// comes from another program; the owner logs and counts it.
+	RejectedReport *Report
+
 	Fetch *Fetch
 	Start *Start
 	Stop  *Stop
@@ -166,8 +172,9 @@
 
 // StartAnswer is the answer to a Start.
 type StartAnswer struct {
-	Verdict Verdict
-	ClockMs int64 // the worker's clock; 0 if the answer has none
+	Verdict    Verdict
+	IsConnLost bool  // with NoAnswer: the connection was refused, reset or closed
+	ClockMs    int64 // the worker's clock; 0 if the answer has none
 }
 
 // Outcome is the outcome of a run at the worker.
@@ -197,7 +204,9 @@
 // HoldAnswer is the answer to a Hold.
 type HoldAnswer struct {
 	Verdict       Verdict
-	IsConnRefused bool // with NoAnswer: the worker's address refused the connection
+	IsConnRefused bool  // with NoAnswer: the worker's address refused the connection
+	IsConnLost    bool  // with NoAnswer: the connection was refused, reset or closed
+	StartMs       int64 // start time of the instance that answered; 0 if the answer has none
 	ClockMs       int64
 	Active        []Active
 	Ended         []Ended
@@ -205,10 +214,14 @@
 
 // Options configures a Machine.
 type Options struct {
-	Timing   Timing     // the zero value selects the timing for DefaultResendDelay
-	Disabled policy.Set // disabled mechanisms
+	Timing   Timing        // the zero value selects the timing for DefaultResendDelay
+	MaxLease time.Duration // longest lease that a worker accepts; DefaultMaxLease if 0
+	Disabled policy.Set    // disabled mechanisms
 }
 
+// DefaultMaxLease is the longest lease that a worker accepts, unless the settings give another one.
+const DefaultMaxLease = time.Second
+
 // Timeouts, intervals and limits of the machine.
 const (
 	// renewInterval is how long a Hold waits for a run to end. A busy worker answers
--- a/internal/runs/crash.go
+++ b/internal/runs/crash.go
@@ -7,7 +7,7 @@
 // isExitUnannounced reports whether the worker has not announced that it stops, so that its
 // end now would be a crash.
 func (m *Machine) isExitUnannounced() bool {
-	return m.instance.id != "" && !m.instance.isTerminating && !m.worker.Leaving
+	return m.instance.ID != "" && !m.instance.isTerminating && m.instance.terminationAt == 0 && !m.worker.Leaving
 }
 
 // crashBlame is the degree to which a run is suspected of a crash of the worker.
@@ -27,11 +27,11 @@
 func (m *Machine) assignBlame() map[Key]crashBlame {
 	blamed, hasSuspects := make(map[Key]crashBlame), false
 	for _, r := range m.runs {
-		hasSuspects = hasSuspects || r.crashCount > 0 && r.state != awaitingText
+		hasSuspects = hasSuspects || r.crashCount > 0 && r.canBeBlamed()
 	}
 	for k, r := range m.runs {
 		switch {
-		case r.state == awaitingText:
+		case !r.canBeBlamed():
 		case r.state == running && (r.crashCount > 0 || !hasSuspects) && m.wasRunningAtCrash(r):
 			blamed[k] = blameCertain
 		default:
@@ -41,6 +41,9 @@
 	return blamed
 }
 
+// canBeBlamed reports whether a run may have been at the instance that has crashed.
+func (r *run) canBeBlamed() bool { return r.state != awaitingText && !r.outlastsInstance }
+
 // wasRunningAtCrash reports whether a run that the worker had accepted was still there when the
 // worker crashed. An earlier end would have been seen, unless the worker was already leaving
 // requests unanswered. In that case the run counts as present if less than half of its expected
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -13,7 +13,7 @@
 func (m *Machine) sendHoldIfDue(now time.Duration) {
 	switch {
 	case m.instance.hasHoldInFlight || now < m.instance.nextHoldAt || !m.needsHold():
-	case m.candidate != nil:
+	case m.candidate != nil && (!m.isSameID() || m.candidate.isPresent):
 		m.verifyCandidate(now)
 	default:
 		m.sendHold(now)
@@ -26,13 +26,18 @@
 	if m.candidate != nil {
 		return true
 	}
-	return inst.id != "" && (len(m.runs) > 0 || inst.hasOrphans || inst.needsProbe || inst.endCursor > inst.ackedCursor)
+	return inst.ID != "" && (len(m.runs) > 0 || inst.hasOrphans || inst.needsProbe || inst.endCursor > inst.ackedCursor)
 }
 
 func (m *Machine) sendHold(now time.Duration) {
 	inst := &m.instance
-	h := &Hold{Lease: m.newLease(now), Ack: inst.endCursor, Timeout: m.holdTimeout(now, inst.unansweredHolds)}
+	h := &Hold{Lease: m.newLease(now), Timeout: m.holdTimeout(now, inst.unansweredHolds)}
+	if inst.endCursor > inst.ackedCursor && !inst.mayHaveRestarted {
+		h.Ack = inst.endCursor // a new instance would take the number for one of its own ends
+	}
 	switch {
+	case inst.mayHaveRestarted || m.candidate != nil || inst.terminationAt > 0:
+		h.UntilMs = 0
 	case inst.isTerminating:
 		h.UntilMs, h.Wait = 0, m.holdWait(now) // do not renew: the worker is terminating
 	case inst.unansweredHolds > 0:
@@ -44,7 +49,7 @@
 		h.Wait = m.holdWait(now)
 		m.extendLease(now)
 	}
-	inst.hasHoldInFlight, inst.holdSentAt, inst.holdWait, inst.sentAck, inst.needsProbe = true, now, h.Wait, inst.endCursor, false
+	inst.hasHoldInFlight, inst.holdSentAt, inst.holdWait, inst.sentAck, inst.needsProbe = true, now, h.Wait, h.Ack, false
 	m.actions = append(m.actions, Action{Hold: h})
 }
 
@@ -67,27 +72,24 @@
 	return renewInterval
 }
 
-// verifyCandidate sends a Hold that only the reported worker instance accepts. Its fencing
-// token is the clock of the worker, which exceeds every earlier token because the clock only
-// increases within an instance.
+// verifyCandidate sends a Hold that only a worker with the candidate's ID accepts.
 func (m *Machine) verifyCandidate(now time.Duration) {
 	inst := &m.instance
-	inst.token = max(m.candidate.ClockMs, 1)
 	inst.hasHoldInFlight, inst.holdSentAt, inst.holdWait = true, now, 0
-	h := &Hold{Lease: Lease{Worker: m.candidate.ID, Token: inst.token}, Timeout: m.holdTimeout(now, inst.unansweredVerifications)}
+	h := &Hold{Lease: Lease{Worker: m.candidate.WorkerInstance, Token: m.candidate.token}, Timeout: m.holdTimeout(now, inst.unansweredVerifications)}
 	m.actions = append(m.actions, Action{Hold: h})
 }
 
 // HandleHoldAnswer handles the answer to a Hold that was sent to the given worker instance.
-func (m *Machine) HandleHoldAnswer(now time.Duration, worker string, a *HoldAnswer) {
+func (m *Machine) HandleHoldAnswer(now time.Duration, worker wire.WorkerInstance, a *HoldAnswer) {
 	m.instance.hasHoldInFlight = false
 	m.recordAnswer(now, a.Verdict)
 	if delay := now - m.instance.holdSentAt - m.instance.holdWait; a.Verdict != NoAnswer && delay > 0 {
 		m.recordAnswerDelay(delay)
 	}
-	if m.candidate != nil && worker == m.candidate.ID {
+	if m.candidate != nil && worker == m.candidate.WorkerInstance {
 		m.handleCandidateAnswer(now, a)
-	} else if worker == m.instance.id {
+	} else if worker == m.instance.WorkerInstance {
 		m.handleInstanceAnswer(now, a)
 	}
 	m.sendHoldIfDue(now)
@@ -96,13 +98,18 @@
 // handleCandidateAnswer handles the answer to a Hold that verifies the candidate. If the
 // candidate has seen a greater fencing token, the next Hold uses its current clock as the token.
 func (m *Machine) handleCandidateAnswer(now time.Duration, a *HoldAnswer) {
+	c := m.candidate
 	switch a.Verdict {
 	case Done:
+		if a.isFromOtherStart(c.WorkerInstance) {
+			m.replaceCandidate(c.ID, a)
+			return
+		}
 		m.adoptCandidate(now, a)
 	case FencedOff:
-		m.candidate.ClockMs = a.ClockMs
+		c.token = raisedToken(c.token, c.WorkerInstance, a.ClockMs)
 	case WrongInstance:
-		m.candidate = nil
+		m.rejectCandidate()
 	default:
 		m.instance.unansweredVerifications++
 		m.instance.nextHoldAt = now + requestRetryDelay
@@ -113,8 +120,14 @@
 	inst := &m.instance
 	switch a.Verdict {
 	case Done:
+		inst.unansweredHolds = 0
+		if m.handleRestart(now, a) {
+			return
+		}
 		m.updateClockOffset(now, a.ClockMs)
-		inst.unansweredHolds, inst.hasRefusedConn, inst.lastAnswerAt, inst.ackedCursor = 0, false, now, max(inst.ackedCursor, inst.sentAck)
+		inst.mayHaveRestarted, inst.confirmedAt = false, inst.holdSentAt
+		inst.hasRefusedConn, inst.lastAnswerAt, inst.ackedCursor = false, now, max(inst.ackedCursor, inst.sentAck)
+		m.verifyTermination(now)
 		m.settleEndedRuns(now, a.Ended)
 		m.reconcile(now, a.Active)
 		m.setUsable(now, !inst.hasOrphans)
@@ -125,11 +138,14 @@
 	case FencedOff:
 		// Another guard took over the worker, or an earlier guard had a greater
 		// token.
-		inst.token = max(inst.token, a.ClockMs)
+		inst.token = raisedToken(inst.token, inst.WorkerInstance, a.ClockMs)
 		inst.nextHoldAt = now + requestRetryDelay
 	default:
 		m.instance.hasRefusedConn = m.instance.hasRefusedConn || a.IsConnRefused
 		m.recordUnansweredHold(now)
+		if a.IsConnLost {
+			m.suspectRestart(now)
+		}
 	}
 }
 
@@ -150,7 +166,9 @@
 func (m *Machine) settleEndedRuns(now time.Duration, ends []Ended) {
 	for _, e := range ends {
 		if e.Number <= m.instance.endCursor {
-			continue // listed again because the acknowledgement had not arrived
+			// Listed again, because the acknowledgement had not arrived.
+			m.instance.ackedCursor = min(m.instance.ackedCursor, e.Number-1)
+			continue
 		}
 		m.instance.endCursor = e.Number
 		if r := m.runs[e.Key]; r != nil {
@@ -198,7 +216,7 @@
 		case r.state == running && r.acceptedAt < sentAt && r.missingSince == 0:
 			r.missingSince, m.instance.nextHoldAt = now, now
 		case r.state == running && r.missingSince > 0 && r.missingSince <= sentAt:
-			m.endRun(now, r, wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes})
+			m.endRun(now, r, lostRunEnd)
 		case r.state == stopping && r.stopConfirmedAt > 0 && r.stopConfirmedAt < sentAt:
 			m.endRun(now, r, r.endAfterStop)
 		}
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -23,27 +24,28 @@
 
 // run is a run that may be at the worker.
 type run struct {
-	key             Key
-	entry           identity.Incarnation
-	need            sched.Resources
-	text            string
-	state           state
-	deadline        time.Duration // when the run is stopped because its result is no longer needed
-	requestedAt     time.Duration // when the start was first sent
-	startAttempts   int           // number of starts sent
-	lastSentAt      time.Duration // when the last start was sent
-	isAccepted      bool          // the worker has confirmed the start
-	acceptedAt      time.Duration // when the worker confirmed the start
-	missingSince    time.Duration // when a Hold answer first listed the run neither as active nor as ended; 0 if none did
-	expectedTime    time.Duration // expected run time; 0 if unknown
-	hasMoved        bool          // already moved off a slow worker, must not move again
-	crashCount      int           // worker crashes during runs of the task that its entry has recorded
-	percent         int64         // progress in the newest list
-	advancedAt      time.Duration // when percent last changed
-	endAfterStop    wire.RunEnd   // reported to the entry once the stop has taken effect
-	hasStopInFlight bool          // a stop request is unanswered
-	nextStopAt      time.Duration // when the next stop request is due if none is in flight
-	stopConfirmedAt time.Duration // when the worker confirmed a stop; 0 if it has not
+	key              Key
+	entry            identity.Incarnation
+	need             sched.Resources
+	text             string
+	state            state
+	deadline         time.Duration // when the run is stopped because its result is no longer needed
+	requestedAt      time.Duration // when the start was first sent
+	startAttempts    int           // number of starts sent
+	lastSentAt       time.Duration // when the last start was sent
+	isAccepted       bool          // the worker has confirmed the start
+	acceptedAt       time.Duration // when the worker confirmed the start
+	outlastsInstance bool          // an instance that replaces the present one has listed it as active
+	missingSince     time.Duration // when a Hold answer first listed the run neither as active nor as ended; 0 if none did
+	expectedTime     time.Duration // expected run time; 0 if unknown
+	hasMoved         bool          // already moved off a slow worker, must not move again
+	crashCount       int           // worker crashes during runs of the task that its entry has recorded
+	percent          int64         // progress in the newest list
+	advancedAt       time.Duration // when percent last changed
+	endAfterStop     wire.RunEnd   // reported to the entry once the stop has taken effect
+	hasStopInFlight  bool          // a stop request is unanswered
+	nextStopAt       time.Duration // when the next stop request is due if none is in flight
+	stopConfirmedAt  time.Duration // when the worker confirmed a stop; 0 if it has not
 }
 
 // entryState is the state kept for one entry.
@@ -71,8 +73,9 @@
 
 	worker          wire.RunWorker // as announced
 	instance        instance
-	candidate       *Report // report of another worker instance, to be verified
-	isGuardDraining bool    // Drain has begun a planned stop of the guard
+	candidate       *candidate // to be verified; nil if there is none
+	maxLease        time.Duration
+	isGuardDraining bool // Drain has begun a planned stop of the guard
 	drains          wire.Drains
 	paceWindow      paceWindow
 	// The worker counts as lossy from lossySince until lossyUntil.
@@ -89,6 +92,7 @@
 	return &Machine{
 		timing:      opt.Timing.OrDefault(),
 		disabled:    opt.Disabled,
+		maxLease:    cmp.Or(opt.MaxLease, DefaultMaxLease),
 		entries:     make(map[identity.Incarnation]*entryState),
 		runs:        make(map[Key]*run),
 		pendingEnds: make(map[identity.Incarnation][]wire.RunEnd),
@@ -214,7 +218,7 @@
 // setUsable sets whether the worker accepts new tasks, and announces a change. A worker that
 // is leaving or drained, or whose guard is draining, stays unusable.
 func (m *Machine) setUsable(now time.Duration, isUsable bool) {
-	isUsable = isUsable && !m.isGuardDraining && !m.worker.Leaving && !m.IsDomainDrained()
+	isUsable = isUsable && m.isWorkerUsable()
 	if m.worker.Usable == isUsable {
 		return
 	}
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -34,7 +34,7 @@
 	r := &rig{C: qt.New(t), m: New(Options{}), now: time.Minute}
 	r.m.LinkUp(r.now, testEntry)
 	r.m.HandleReport(r.now, r.newReport(testWorker, 1))
-	r.Assert(r.nextHold().Worker, qt.Equals, testWorker)
+	r.Assert(r.nextHold().Worker.ID, qt.Equals, testWorker)
 	r.answerHold(testWorker, HoldAnswer{})
 	r.Assert(r.m.Worker().Usable, qt.IsTrue)
 	r.actions()
@@ -44,7 +44,7 @@
 func (r *rig) clockMs() int64 { return (r.now + workerClockOffset).Milliseconds() }
 
 func (r *rig) newReport(id string, seq int64) *Report {
-	return &Report{ID: id, Seq: seq, ClockMs: r.clockMs(), Service: "svc", Capacity: sched.Resources{CPU: 8000, MemoryMB: 1000}}
+	return &Report{WorkerInstance: wire.WorkerInstance{ID: id}, Seq: seq, ClockMs: r.clockMs(), Service: "svc", Capacity: sched.Resources{CPU: 8000, MemoryMB: 1000}}
 }
 
 func (r *rig) actions() []Action { return r.m.Actions(r.now) }
@@ -63,7 +63,7 @@
 
 func (r *rig) answerHold(worker string, a HoldAnswer) {
 	a.ClockMs = r.clockMs()
-	r.m.HandleHoldAnswer(r.now, worker, &a)
+	r.m.HandleHoldAnswer(r.now, wire.WorkerInstance{ID: worker}, &a)
 }
 
 func (r *rig) advance(d time.Duration) {
@@ -241,7 +241,7 @@
 func TestLateReportOfAnEarlierInstanceIsIgnored(t *testing.T) {
 	r := newRig(t)
 	r.m.HandleReport(r.now, r.newReport("worker-0", 99))
-	r.Assert(r.nextHold().Worker, qt.Equals, "worker-0")
+	r.Assert(r.nextHold().Worker.ID, qt.Equals, "worker-0")
 	r.answerHold("worker-0", HoldAnswer{Verdict: WrongInstance})
 	r.Assert(r.m.Worker().ID, qt.Equals, testWorker)
 	r.Assert(r.m.Worker().Usable, qt.IsTrue)
@@ -264,7 +264,7 @@
 	r.m.HandleReport(r.now, rep)
 	r.answerHold(testWorker, HoldAnswer{Verdict: NoAnswer})
 	r.advance(requestRetryDelay)
-	r.Assert(r.nextHold().Worker, qt.Equals, "worker-2")
+	r.Assert(r.nextHold().Worker.ID, qt.Equals, "worker-2")
 	r.answerHold("worker-2", HoldAnswer{})
 	got := groupActions(r.actions())
 	r.Assert(got.ends, qt.HasLen, 1)
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -68,6 +68,8 @@
 		return errkind.Fenced
 	case frame.LeftMs <= 0:
 		return errkind.DeadlineExpired
+	case m.instance.mayHaveRestarted:
+		return errkind.NoWorkers
 	case m.instance.isRecalled && !frame.SelfLimiting:
 		return errkind.Busy // the stored capacity may be out of date
 	}
@@ -221,6 +223,9 @@
 func (m *Machine) HandleStartAnswer(now time.Duration, k Key, a StartAnswer) {
 	m.updateClockOffset(now, a.ClockMs)
 	m.recordAnswer(now, a.Verdict)
+	if a.IsConnLost {
+		m.suspectRestart(now)
+	}
 	r := m.runs[k]
 	if r == nil || r.isAccepted {
 		return
@@ -228,7 +233,7 @@
 	if a.Verdict != NoAnswer {
 		m.recordAnswerDelay(now - r.lastSentAt)
 	}
-	if a.Verdict == NoAnswer && r.state == starting && r.startAttempts < maxStartAttempts && !m.IsDomainDrained() && !m.isOverCapacity() {
+	if a.Verdict == NoAnswer && r.state == starting && r.startAttempts < maxStartAttempts && m.canRepeatStart() {
 		// Starts are idempotent: the worker recognizes a run that it already has or
 		// had. A retry either starts the run or finds it running. A copy that is
 		// processed seconds later is refused because of its run number or its lease.
@@ -254,6 +259,11 @@
 	m.handleRefusal(now, r, a.Verdict)
 }
 
+// canRepeatStart reports whether an unanswered start may be sent again.
+func (m *Machine) canRepeatStart() bool {
+	return !m.IsDomainDrained() && !m.isOverCapacity() && !m.instance.mayHaveRestarted
+}
+
 // handleRefusal ends a run that the worker has refused.
 func (m *Machine) handleRefusal(now time.Duration, r *run, v Verdict) {
 	end := endNotRun(errkind.Busy)
--- a/internal/runs/tick.go
+++ b/internal/runs/tick.go
@@ -27,13 +27,22 @@
 		}
 	}
 	if m.instance.unansweredHolds >= maxUnansweredHolds && now >= m.instance.leaseEnd {
-		m.endAllRuns(now, m.instance.hasRefusedConn && m.isExitUnannounced())
+		m.endExpiredRuns(now)
 	}
 	m.endTerminatedInstance(now)
 }
 
-// endAllRuns ends all runs. It is called when the lease of an unreachable worker has expired or
-// the worker instance has ended; in both cases no run can still be active.
+// endExpiredRuns ends the runs of an unreachable worker whose leases have expired.
+func (m *Machine) endExpiredRuns(now time.Duration) {
+	for _, r := range m.runs {
+		r.outlastsInstance = now < m.leaseEndOf(r)
+	}
+	m.endAllRuns(now, m.instance.hasRefusedConn && m.isExitUnannounced())
+}
+
+// endAllRuns ends all runs except those that outlast the instance. It is called when the lease of
+// an unreachable worker has expired or the worker instance has ended; in both cases no other run
+// can still be active.
 func (m *Machine) endAllRuns(now time.Duration, hasCrashed bool) {
 	var blamed map[Key]crashBlame
 	if hasCrashed {
@@ -41,7 +50,11 @@
 		m.reportCrash(blamed)
 	}
 	for _, r := range m.sortedRuns() {
-		end := wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes}
+		if r.outlastsInstance {
+			r.outlastsInstance = false
+			continue
+		}
+		end := lostRunEnd
 		switch r.state {
 		case stopping:
 			end = r.endAfterStop
@@ -98,8 +111,13 @@
 	if !m.instance.hasHoldInFlight && m.needsHold() {
 		consider(m.instance.nextHoldAt)
 	}
-	if (m.instance.isTerminating || m.instance.unansweredHolds >= maxUnansweredHolds) && len(m.runs) > 0 {
+	if m.instance.isTerminating && len(m.runs) > 0 {
 		consider(m.instance.leaseEnd)
 	}
+	if m.instance.unansweredHolds >= maxUnansweredHolds {
+		for _, r := range m.runs {
+			consider(m.leaseEndOf(r))
+		}
+	}
 	return next
 }
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -10,7 +10,7 @@
 // instance is the state kept for the present worker instance, which lasts until the worker
 // stops or restarts.
 type instance struct {
-	id             string
+	wire.WorkerInstance
 	seq            int64         // Seq of its newest report
 	token          int64         // fencing token of this guard at the worker
 	clockOffset    time.Duration // lower bound of the worker's clock minus the guard's
@@ -19,9 +19,17 @@
 	ackedCursor    int64         // number of the last end whose acknowledgement the worker has received
 	leaseEnd       time.Duration // when the lease has certainly expired unless it is renewed
 	hasOrphans     bool          // runs of an earlier guard may be at the worker
+	isDraining     bool          // has reported that it drains
 	isTerminating  bool          // has announced that it terminates; runs may continue until then
-	isRecalled     bool          // has not reported to this guard yet, see Report.IsRecalled
-	hasRefusedConn bool          // its address has refused a connection since the last answer
+	// terminationAt is when a termination was announced for the worker's ID although this instance
+	// has not reported that it drains: the announcement may be a late one of an earlier instance.
+	// It is 0 if there is none.
+	terminationAt    time.Duration
+	mayHaveRestarted bool          // its last requests failed as those to a worker that has restarted
+	leaseSentAt      time.Duration // when a request with a lease was last sent
+	confirmedAt      time.Duration // when the last request was sent that it has certainly answered
+	isRecalled       bool          // has not reported to this guard yet, see Report.IsRecalled
+	hasRefusedConn   bool          // its address has refused a connection since the last answer
 
 	hasHoldInFlight bool // a Hold is unanswered
 	holdSentAt      time.Duration
@@ -40,21 +48,23 @@
 // is verified with the worker first, because a delayed report may arrive after its sender has
 // crashed and a new instance has registered.
 func (m *Machine) HandleReport(now time.Duration, report *Report) {
-	if report.ID == "" {
-		return
-	}
-	if report.ID != m.instance.id {
-		if m.candidate == nil || m.candidate.ID != report.ID || report.Seq > m.candidate.Seq {
-			latest := *report
-			m.candidate = &latest
-		}
+	switch {
+	case report.ID == "":
+	case report.WorkerInstance != m.instance.WorkerInstance:
+		m.addCandidate(report)
 		m.instance.nextHoldAt = min(m.instance.nextHoldAt, now)
 		m.sendHoldIfDue(now)
-		return
-	}
-	if report.Seq <= m.instance.seq {
-		return
+	case report.Seq <= m.instance.seq:
+	case m.worker.ID == "":
+		m.updateClockOffset(now, report.ClockMs)
+		m.describeWorker(now, report)
+	default:
+		m.updateWorker(now, report)
 	}
+}
+
+// updateWorker handles a report of the present instance.
+func (m *Machine) updateWorker(now time.Duration, report *Report) {
 	m.instance.seq, m.instance.isRecalled = report.Seq, false
 	m.updateClockOffset(now, report.ClockMs)
 	previous := m.worker
@@ -63,6 +73,7 @@
 	if m.worker.Capacity != previous.Capacity || m.worker.Cold != previous.Cold {
 		m.announceWorker(now)
 	}
+	m.instance.isDraining = m.instance.isDraining || report.Draining
 	if report.Draining && !m.worker.Leaving {
 		m.worker.Leaving, m.worker.Usable = true, false
 		m.announceWorker(now)
@@ -81,16 +92,27 @@
 	m.worker.Capacity, m.worker.Cold = report.Capacity, report.Cold
 }
 
-// HandleTermination handles the announcement of a worker that it is terminating. id identifies the
-// worker instance. Its runs may continue until it has terminated; when tasks were restarted
-// elsewhere at once, they ran twice during that time. The lease is therefore no longer renewed, and
-// the runs end when the worker lists them as ended, a new instance answers at its address, or the
-// lease has expired.
+// HandleTermination handles the announcement of a worker that it is terminating. id is the ID of
+// the worker. Its runs may continue until it has terminated; when tasks were restarted elsewhere at
+// once, they ran twice during that time. The lease is therefore no longer renewed, and the runs end
+// when the worker lists them as ended, a new instance answers at its address, or the lease has
+// expired.
+//
+// The announcement does not name the start. Where a worker may restart under its ID, one that has
+// not drained before may be a late one of an earlier instance: the worker then gets no new tasks
+// until it answers terminationDelay later.
 func (m *Machine) HandleTermination(now time.Duration, id string) {
-	if m.candidate != nil && m.candidate.ID == id {
+	if m.candidate != nil && m.candidate.ID == id && m.candidate.StartMs == 0 {
 		m.candidate = nil
 	}
-	if id == "" || id != m.instance.id {
+	if id == "" || id != m.instance.ID {
+		return
+	}
+	if m.instance.StartMs != 0 && !m.instance.isDraining {
+		m.instance.terminationAt = now
+		m.setUsable(now, false)
+		m.instance.needsProbe = true
+		m.instance.nextHoldAt = max(m.instance.nextHoldAt, now+terminationDelay)
 		return
 	}
 	m.instance.isTerminating = true
@@ -116,7 +138,7 @@
 // made sure that the instance runs nothing any more.
 func (m *Machine) endInstance(now time.Duration) {
 	m.endAllRuns(now, m.isExitUnannounced())
-	m.instance = instance{}
+	m.instance, m.paceWindow = instance{}, paceWindow{}
 	m.worker = wire.RunWorker{Leaving: m.isGuardDraining}
 }
 
@@ -128,21 +150,12 @@
 	m.instance.needsProbe = true
 }
 
-// adoptCandidate makes the candidate the present instance after it has answered a Hold.
-func (m *Machine) adoptCandidate(now time.Duration, a *HoldAnswer) {
-	report, token := m.candidate, m.instance.token
-	m.candidate = nil
-	m.endInstance(now)
-	m.instance = instance{id: report.ID, seq: report.Seq, token: token, isRecalled: report.IsRecalled, lastAnswerAt: now}
-	m.worker = wire.RunWorker{ID: report.ID, Leaving: m.isGuardDraining || report.Draining}
+// describeWorker applies the first report of the present instance, whose clock is known already.
+func (m *Machine) describeWorker(now time.Duration, report *Report) {
+	m.instance.seq, m.instance.isRecalled, m.instance.isDraining = report.Seq, report.IsRecalled, report.Draining
+	m.worker = wire.RunWorker{WorkerInstance: report.WorkerInstance, Leaving: m.isGuardDraining || report.Draining}
 	m.applyReport(report)
-	m.updateClockOffset(now, a.ClockMs)
-	for _, e := range a.Ended {
-		m.instance.endCursor = max(m.instance.endCursor, e.Number)
-	}
-	m.stopOrphans(now, a.Active)
-	m.instance.needsProbe = m.instance.hasOrphans
-	m.worker.Usable = !m.instance.hasOrphans && !m.worker.Leaving && !m.IsDomainDrained()
+	m.worker.Usable = m.isWorkerUsable() && !m.instance.hasOrphans
 	m.announceWorker(now)
 }
 
@@ -169,13 +182,20 @@
 	if clockMs == 0 {
 		return
 	}
-	m.instance.clockOffset = milliseconds(clockMs) - now
+	offset := milliseconds(clockMs) - now
+	if m.instance.hasClockOffset && m.instance.clockOffset-offset > maxClockStepBack {
+		m.suspectRestart(now)
+	}
+	m.instance.clockOffset = offset
 	m.instance.hasClockOffset = true
 }
 
 // newLease returns the lease of a request that is sent now.
+//
+// A worker that has restarted takes the end of a lease for a time on its new clock, and keeps what
+// runs there for up to Options.MaxLease.
 func (m *Machine) newLease(now time.Duration) Lease {
-	lease := Lease{Worker: m.instance.id, Token: m.instance.token}
+	lease := Lease{Worker: m.instance.WorkerInstance, Token: m.instance.token}
 	if m.instance.hasClockOffset {
 		lease.UntilMs = (now + m.instance.clockOffset + m.timing.Lease).Milliseconds()
 	}
@@ -184,5 +204,6 @@
 
 // extendLease moves the latest end of the lease, as a request that renews it is sent now.
 func (m *Machine) extendLease(now time.Duration) {
+	m.instance.leaseSentAt = now
 	m.instance.leaseEnd = max(m.instance.leaseEnd, now+m.timing.Lease+clockSkewMargin)
 }
--- a/internal/settings/batch.go
+++ b/internal/settings/batch.go
@@ -31,6 +31,7 @@
 	Store       string   // address of the platform's store
 	Stop        time.Duration
 	ResendDelay time.Duration // delay after which callers without an answer resend a job
+	MaxLease    time.Duration // longest lease that the worker accepts
 	Memory      int64         // megabytes
 	Log         BoundedLog
 }
@@ -78,6 +79,9 @@
 	batchLimitFields(func(g *BatchGuard) (stop, resend *time.Duration, memory *int64) {
 		return &g.Stop, &g.ResendDelay, &g.Memory
 	}),
+	[]field[BatchGuard]{
+		millisField("limits", "max_lease_ms", 1000, 1, 3_600_000, "Longest lease that a worker accepts. What an order without an answer has started at a worker that has restarted under its id has ended by then.", func(g *BatchGuard) *time.Duration { return &g.MaxLease }),
+	},
 	boundedLogFields(func(g *BatchGuard) *BoundedLog { return &g.Log }),
 )
 
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -18,6 +18,26 @@
 
 // During an upgrade a newer process sends fields that this version does not define. If they
 // made decoding fail, every upgrade would close the links of the whole fleet.
+// Guards against the ID and the start time of a worker being encoded as a nested field, which
+// earlier versions do not read.
+func TestWorkerInstanceIsEncodedInline(t *testing.T) {
+	frame := &Frame{GuardHeartbeat: &GuardHeartbeat{Worker: &RunWorker{WorkerInstance: WorkerInstance{ID: "i-1", StartMs: 7}, Service: "s"}}}
+	b, err := Encode(frame)
+	qt.Assert(t, err, qt.IsNil)
+	decoded, err := Decode(b)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, decoded.GuardHeartbeat.Worker, qt.DeepEquals, frame.GuardHeartbeat.Worker)
+	var earlier struct {
+		ID      string `cbor:"1,keyasint"`
+		Service string `cbor:"2,keyasint"`
+	}
+	b, err = cbor.Marshal(frame.GuardHeartbeat.Worker)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, cbor.Unmarshal(b, &earlier), qt.IsNil)
+	qt.Check(t, earlier.ID, qt.Equals, "i-1")
+	qt.Check(t, earlier.Service, qt.Equals, "s")
+}
+
 func TestUnknownFieldsAreIgnored(t *testing.T) {
 	b, err := cbor.Marshal(map[int]any{6: map[int]any{1: 9, 2: 4, 99: "new"}, 77: []int{1}})
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
@@ -34,9 +35,27 @@
 	Software    string               `cbor:"5,keyasint,omitempty"`
 }
 
-// RunWorker describes the worker of a guard.
+// WorkerInstance identifies one start of a worker. A worker that restarts under the same ID has
+// another start time, and has kept nothing of the earlier instance: neither runs nor clock, fencing
+// token or numbers.
+type WorkerInstance struct {
+	ID string `cbor:"1,keyasint,omitempty"` // empty if there is no worker
+	// StartMs is the Unix time of the start in milliseconds. It is 0 if the worker does not report
+	// it; every instance then has an ID of its own.
+	StartMs int64 `cbor:"11,keyasint,omitempty" json:",omitempty"`
+}
+
+// String returns the form that logs show.
+func (w WorkerInstance) String() string {
+	if w.StartMs == 0 {
+		return w.ID
+	}
+	return w.ID + "@" + strconv.FormatInt(w.StartMs, 10)
+}
+
+// RunWorker describes the worker of a guard. Its ID is empty while there is no worker.
 type RunWorker struct {
-	ID       string          `cbor:"1,keyasint,omitempty"` // identifies one incarnation of the worker process; empty while there is none
+	WorkerInstance
 	Service  string          `cbor:"2,keyasint,omitempty"`
 	Domain   string          `cbor:"3,keyasint,omitempty"` // failure domain
 	Rack     string          `cbor:"4,keyasint,omitempty"`
