--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"wigeontray/internal/batch"
@@ -78,7 +77,7 @@
 	e.opt.Log.Info("guard linked", "guard", hello.Incarnation, "worker", hello.Worker.WorkerInstance, "usable", hello.Worker.Usable)
 	e.sendToGuard(hello.Incarnation, &wire.Frame{RunWelcome: &wire.RunWelcome{
 		Version: wire.Version, Incarnation: e.id, Revision: e.configVersion,
-		Entries: e.known, Software: telemetry.Version,
+		Entries: e.addressesFor(hello.Incarnation), Software: telemetry.Version,
 	}})
 	drains := e.drains.known
 	e.sendToGuard(hello.Incarnation, &wire.Frame{Drains: &drains}) // must precede the first task
@@ -150,31 +149,3 @@
 		}
 	}
 }
-
-// SetEntries stores the addresses of all entries, to which it adds its own, and sends the
-// guards those that were added. If every entry sent the whole list at each change, the links
-// of a large fleet would be saturated while its entries restart one after the other. Duplicate
-// addresses are removed: a restarted entry is listed twice until its earlier registration
-// expires.
-func (e *Entry) SetEntries(addresses []string) {
-	if !slices.Contains(addresses, e.opt.Address) {
-		addresses = append(addresses, e.opt.Address)
-	}
-	slices.Sort(addresses)
-	addresses = slices.Compact(addresses)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if slices.Equal(addresses, e.known) {
-		return
-	}
-	added := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return slices.Contains(e.known, a) })
-	e.known = addresses
-	e.opt.Log.Info("entries changed", "entries", len(addresses))
-	e.machine.SetEntries(len(addresses))
-	if len(added) == 0 {
-		return
-	}
-	for id := range e.links {
-		e.sendToGuard(id, &wire.Frame{Entries: &wire.Entries{Addresses: added}})
-	}
-}
--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -69,6 +69,7 @@
 	machine             *runs.Machine
 	links               map[identity.Incarnation]*guardLink
 	dialing             map[string]bool
+	dialSlots           chan struct{} // one element for each dial in progress
 	deadlineTimer       *deadlineTimer
 	configVersion       int64 // newest configuration received; 0 before the first
 	configDocument      []byte
@@ -96,6 +97,7 @@
 		machine:       runs.New(runs.Options{Timing: opt.Timing, MaxLease: opt.MaxLease, Disabled: policy.Linked()}),
 		links:         make(map[identity.Incarnation]*guardLink),
 		dialing:       make(map[string]bool),
+		dialSlots:     make(chan struct{}, maxConcurrentDials),
 		changed:       make(chan struct{}, 1),
 		unsavedReport: make(chan *runs.Report, 1),
 	}
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"wigeontray/internal/identity"
@@ -15,9 +18,19 @@
 
 // Timing of links.
 const (
-	// dialTimeout is the timeout for a dial including its handshake. It allows for an entry
-	// that has just started and receives the dials of all its guards at once.
+	// dialTimeout is the timeout for a TCP connection.
 	dialTimeout = 300 * time.Millisecond
+	// minHandshakeTimeout is the first timeout for a dial including its handshake. It doubles up
+	// to maxHandshakeTimeout with each handshake that an entry has not completed in time: an entry
+	// that receives the dials of all its guards at once would spend its processor time on
+	// handshakes that were given up.
+	minHandshakeTimeout = 600 * time.Millisecond
+	maxHandshakeTimeout = 5 * time.Second
+	// maxConcurrentDials is the maximum number of addresses that a guard dials at once, and
+	// dialSlotTimeout how long one of them may keep the others waiting. The dials of all guards
+	// then spread over all entries, and an entry's share does not grow with the fleet.
+	maxConcurrentDials = 16
+	dialSlotTimeout    = 300 * time.Millisecond
 	// quickConnectTimeout is the timeout for the TCP connection, except that every
 	// longConnectEvery-th attempt may take dialTimeout. A VM that is down does not answer at
 	// all: a guard that waited for dialTimeout each time would detect late that its entry is
@@ -57,6 +70,8 @@
 // AddEntries starts to maintain links to the addresses that are not dialed yet. It has no effect
 // before Run and after its context has ended.
 func (g *Guard) AddEntries(addresses []string) {
+	addresses = slices.Clone(addresses)
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, a := range addresses {
@@ -72,9 +87,14 @@
 // be reached for dialGiveUpTimeout.
 func (g *Guard) maintainLink(ctx context.Context, address string) {
 	defer g.stopDialing(address)
-	backoff, lastLinkedAt := minRedialDelay, time.Now()
+	backoff, handshakeTimeout, lastLinkedAt := minRedialDelay, minHandshakeTimeout, time.Now()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		l, err := g.connect(ctx, address, connectTimeoutFor(attempt))
+		l, timedOut, err := g.connectInTurn(ctx, address, connectTimeoutFor(attempt), handshakeTimeout)
+		if timedOut {
+			handshakeTimeout = min(2*handshakeTimeout, maxHandshakeTimeout)
+		} else {
+			handshakeTimeout = minHandshakeTimeout
+		}
 		if err == nil {
 			g.serveLink(ctx, l)
 			backoff, lastLinkedAt, attempt = minRedialDelay, time.Now(), 0
@@ -124,9 +144,26 @@
 	delete(g.dialing, address)
 }
 
+// connectInTurn connects to an entry once a dial slot is free. It occupies the slot for at most
+// dialSlotTimeout, so that unresponsive entries do not keep the guard from the others. timedOut
+// reports whether the entry has accepted the connection and not completed the handshake in time.
+func (g *Guard) connectInTurn(ctx context.Context, address string, connectTimeout, handshakeTimeout time.Duration) (l *guardLink, timedOut bool, err error) {
+	select {
+	case g.dialSlots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, false, ctx.Err()
+	}
+	release := sync.OnceFunc(func() { <-g.dialSlots })
+	defer release()
+	defer time.AfterFunc(dialSlotTimeout, release).Stop()
+	startedAt := time.Now()
+	l, err = g.connect(ctx, address, connectTimeout, handshakeTimeout)
+	return l, err != nil && time.Since(startedAt) >= handshakeTimeout, err
+}
+
 // connect dials an entry and performs the handshake.
-func (g *Guard) connect(ctx context.Context, address string, connectTimeout time.Duration) (*guardLink, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (g *Guard) connect(ctx context.Context, address string, connectTimeout, handshakeTimeout time.Duration) (*guardLink, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	link, err := g.opt.Dial(wire.WithConnectTimeout(ctx, connectTimeout), address)
 	if err != nil {
--- a/internal/batchnode/guardlink_test.go
+++ b/internal/batchnode/guardlink_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -57,6 +59,115 @@
 	})
 }
 
+// Guards against entries that spend all of their processor time on handshakes that their guards have
+// given up: after the start of a large fleet, each guard repeated its dials before an entry had
+// come to them, and no entry was ever linked to most of its guards.
+func TestStartOfManyGuardsLinksAll(t *testing.T) {
+	const guards, entries, handshakeTime = 80, 40, 10 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer time.Sleep(guards * entries * handshakeTime) // until the last handshake has ended
+		defer f.stop()
+		var handshakes atomic.Int64
+		processors := make(map[string]chan struct{}) // one for each entry, which serves one handshake at a time
+		var addresses []string
+		for i := range entries {
+			address := fmt.Sprint("entry-", i)
+			f.entry(address)
+			addresses, processors[address] = append(addresses, address), make(chan struct{}, 1)
+		}
+		dial := func(ctx context.Context, address string) (wire.Link, error) {
+			served := make(chan struct{})
+			go func() { // the request is served even if the guard has given it up
+				defer close(served)
+				select {
+				case processors[address] <- struct{}{}:
+				case <-f.ctx.Done():
+					return
+				}
+				time.Sleep(handshakeTime)
+				handshakes.Add(1)
+				<-processors[address]
+			}()
+			select {
+			case <-served:
+				return f.dial(ctx, address)
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		for i := range guards {
+			g := NewGuard(GuardOptions{
+				Name: fmt.Sprint("guard-", i), Entries: addresses, Worker: newWorker(f, time.Second), Clock: f.clock,
+				Metrics: telemetry.New(), Log: discardLogger(), Dial: dial,
+				Lookup: func(context.Context) ([]string, error) { return nil, nil },
+			})
+			f.guards = append(f.guards, g)
+			go g.Run(f.ctx)
+		}
+		time.Sleep(2 * guards * handshakeTime)
+		linked := 0
+		for _, g := range f.guards {
+			linked += g.linkCount()
+		}
+		qt.Check(t, linked, qt.Equals, guards*entries)
+		qt.Check(t, handshakes.Load() <= guards*entries*11/10, qt.IsTrue, qt.Commentf("%d handshakes", handshakes.Load()))
+	})
+}
+
+// Guards against lists of entries whose number grows with the square of the entries: at the start of
+// a large fleet, every entry told every guard of every other entry.
+func TestAnnouncedAddressesGrowWithTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		small, large := announcedAddresses(t, 8), announcedAddresses(t, 32)
+		qt.Check(t, large <= 8*small, qt.IsTrue, qt.Commentf("%d addresses with 8 entries, %d with 32", small, large))
+	})
+}
+
+// announcedAddresses returns how many addresses of entries one guard receives while the given number
+// of entries starts. It checks that the guard is linked to all of them in the end.
+func announcedAddresses(t *testing.T, entries int) int64 {
+	f := newFleet(t)
+	defer f.stop()
+	var received atomic.Int64
+	f.wrapLink = func(l wire.Link, _ string) wire.Link { return &addressCounter{Link: l, received: &received} }
+	var addresses []string
+	for i := range entries {
+		addresses = append(addresses, fmt.Sprintf("entry-%02d", i))
+		f.entry(addresses[i])
+	}
+	g := f.guard(newWorker(f, time.Second), addresses[:3], addresses[0])
+	for n := 1; n <= entries; n++ {
+		for _, a := range addresses {
+			f.entries[a].SetEntries(slices.Clone(addresses[:n]))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	qt.Check(t, g.linkCount(), qt.Equals, entries)
+	return received.Load()
+}
+
+// addressCounter counts the addresses of entries that a link delivers.
+type addressCounter struct {
+	wire.Link
+	received *atomic.Int64
+}
+
+func (c *addressCounter) Recv(ctx context.Context) (*wire.Frame, error) {
+	f, err := c.Link.Recv(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if f.Entries != nil {
+		c.received.Add(int64(len(f.Entries.Addresses)))
+	}
+	if f.RunWelcome != nil {
+		c.received.Add(int64(len(f.RunWelcome.Entries)))
+	}
+	return f, nil
+}
+
 // Guards against a guard that waits for its configured entries when these are the last to restart
 // after a power loss of all VMs. The other entries are registered in the store and already
 // receive requests, which they refuse while they have no worker.
