runs, batch: guards learn how fast their workers are, and long tasks go to fast ones

Cause: its workers differ in speed by 2.4, each by itself: of the jobs that ran on one worker only, some guards' took 0.6 to 0.9 of the usual time and others' 1.4 to 2.0, whatever their label. Placement goes by free room alone; a worker of 0.41 of the usual pace is now and then taken for sick (0.4), which is all that kept tasks away from it.

Change: a guard learns the geometric mean of the relative run times of its newest jobs, and announces it when it has changed by more than a third. Entries place a task on any worker on which it is expected to end by its job's target, with a margin, and else on the fastest. A new start of a worker begins anew. Workers that are sick are told apart by their pace relative to what was learned.

--- a/internal/batch/health.go
+++ b/internal/batch/health.go
@@ -15,7 +15,7 @@
 	w := &m.workers[g.position]
 	switch {
 	case e.Kind == errkind.None:
-		isSlow := milliseconds(e.RunMs) > time.Duration(slowRunFactor*float64(m.expectedRunTime(r.job.spec.Queue, r.step.spec)))
+		isSlow := milliseconds(e.RunMs) > time.Duration(slowRunFactor*max(1, w.Slowness)*float64(m.expectedRunTime(r.job.spec.Queue, r.step.spec)))
 		g.health.RecordRun(isSlow)
 		if w.MaxOwnTasks > 0 && !g.isQuarantined {
 			w.MaxOwnTasks = int(g.health.RecordProbe(int32(w.MaxOwnTasks), probationTaskLimit, isSlow))
--- a/internal/batch/load_test.go
+++ b/internal/batch/load_test.go
@@ -65,6 +65,7 @@
 	unansweredShare float64
 	answerDelay     time.Duration // additional delay of the workers' answers
 	mixAfterShift   []requestKind // mix after a third of the duration; nil for no change
+	unlikeWorkers   bool          // every third worker takes 2.4 times as long as the others
 	linkRate        float64       // bandwidth of an entry's link in each direction, in bytes a second; 0 for no limit
 }
 
@@ -134,6 +135,11 @@
 	for _, w := range s.workers {
 		w.capacity = sched.Resources{CPU: loadWorkerCPU, MemoryMB: 1 << 20}
 	}
+	if l.unlikeWorkers {
+		for i, w := range s.workers {
+			w.speed = unlikeSpeeds[i%len(unlikeSpeeds)]
+		}
+	}
 	start := s.now + 3*time.Second
 	s.run(start)
 	mix := ticketMix()
@@ -190,6 +196,9 @@
 	return r
 }
 
+// unlikeSpeeds are the speeds of the workers of a load with unlike workers.
+var unlikeSpeeds = []float64{1 / 0.7, 1 / 0.7, 1 / 1.7}
+
 // flapInterval is the time between two crashes of a flapping worker.
 const flapInterval = 1300 * time.Millisecond
 
--- a/internal/batch/loadrules_test.go
+++ b/internal/batch/loadrules_test.go
@@ -92,3 +92,14 @@
 	with, without := missed(), missed(policy.HangWatch)
 	qt.Check(t, with < 0.7*without, qt.IsTrue, qt.Commentf("%.3f, %.3f without", with, without))
 }
+
+// Guards against long tasks on slow workers while fast ones have room.
+func TestLoadOnWorkersOfUnlikeSpeedIsServedInTime(t *testing.T) {
+	for _, offeredLoad := range []float64{0.3, 0.6} {
+		missed := func(disabled ...policy.Mechanism) float64 {
+			return 1 - mean(load{offeredLoad: offeredLoad, unlikeWorkers: true}.results(t, disabled...), (*loadResult).served)
+		}
+		with, without := missed(), missed(policy.WorkerSpeeds)
+		qt.Check(t, with < 0.7*without, qt.IsTrue, qt.Commentf("load %.2f: %.3f, %.3f without", offeredLoad, with, without))
+	}
+}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -132,9 +133,9 @@
 
 // placeStep assigns a step's waiting tasks to guards and adds them to the batches.
 func (m *Machine) placeStep(now time.Duration, j *job, s *step, batches []*guardBatch) []*guardBatch {
-	unplaced := s.waiting[:0]
+	unplaced, maxSlowness := s.waiting[:0], m.maxSlowness(now, j, s)
 	for _, index := range s.waiting {
-		at := m.chooseGuard(j, s, index, batches)
+		at := m.chooseGuard(j, s, index, maxSlowness, batches)
 		if at == nil {
 			unplaced = append(unplaced, index)
 			continue
@@ -146,6 +147,20 @@
 	return batches
 }
 
+// runTimeMargin is the factor by which a run may take longer than expected: run times vary, and
+// callers' estimates are off.
+const runTimeMargin = 1.3
+
+// maxSlowness returns the slowness of a worker up to which a step's tasks are expected to end by the
+// target time of their job, with some margin.
+func (m *Machine) maxSlowness(now time.Duration, j *job, s *step) float64 {
+	expected := m.expectedRunTime(j.spec.Queue, s.spec)
+	if expected <= 0 || m.options.Disabled.Has(policy.WorkerSpeeds) {
+		return 0
+	}
+	return max(float64(j.targetEnd-now)/(runTimeMargin*float64(expected)), math.SmallestNonzeroFloat64)
+}
+
 // batchFor returns the batch of a guard, and adds an empty one if there is none.
 func batchFor(batches *[]*guardBatch, at *guard) *guardBatch {
 	for _, b := range *batches {
@@ -160,10 +175,10 @@
 
 // chooseGuard returns a guard with room for the task, or nil. On a low-bandwidth link it prefers
 // guards that already get tasks of the job, as the job's text is sent to them anyway.
-func (m *Machine) chooseGuard(j *job, s *step, index int, batches []*guardBatch) *guard {
+func (m *Machine) chooseGuard(j *job, s *step, index int, maxSlowness float64, batches []*guardBatch) *guard {
 	t := &s.tasks[index]
 	req := taskRequirements(j.spec.Queue, s.spec)
-	req.Rack = s.spec.Rack
+	req.Rack, req.MaxSlowness = s.spec.Rack, maxSlowness
 	if !m.options.Disabled.Has(policy.OwnDomain) {
 		req.Domain = m.options.Domain
 	}
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -30,6 +30,7 @@
 	ended         []runs.Ended     // ended runs that the guard has not acknowledged
 	lastEndNumber int64
 	pendingHold   *simHold
+	speed         float64 // runs take this many times less; 0 for 1
 	slowFactor    float64 // factor by which runs take longer; 0 for none
 	isStalled     bool    // its runs make no progress
 }
@@ -190,6 +191,9 @@
 	if job.runTime > 0 {
 		runTime = time.Duration(float64(job.runTime) * (0.85 + 0.3*s.rng.Float64()))
 	}
+	if w.speed > 0 {
+		runTime = time.Duration(float64(runTime) / w.speed)
+	}
 	if w.slowFactor > 0 {
 		runTime = time.Duration(w.slowFactor * float64(runTime))
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -63,6 +63,9 @@
 	CrashLimit
 	// SuspectsApart places no two tasks that are suspected of a crash on one worker.
 	SuspectsApart
+	// WorkerSpeeds learns how fast each worker is and gives the fast ones the tasks that would
+	// end too late elsewhere.
+	WorkerSpeeds
 	mechanismCount
 )
 
@@ -72,6 +75,7 @@
 	Quarantine: "quarantine", Probation: "probation", StallWatch: "stall-watch", PaceWatch: "pace-watch",
 	RetrySpread: "retry-spread", StoredReport: "stored-report", ConfigRelay: "config-relay", StartGrace: "start-grace",
 	QuickOrders: "quick-orders", HangWatch: "hang-watch", CrashLimit: "crash-limit", SuspectsApart: "suspects-apart",
+	WorkerSpeeds: "worker-speeds",
 }
 
 // String returns the name that Parse accepts.
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -78,6 +78,7 @@
 	isGuardDraining bool // Drain has begun a planned stop of the guard
 	drains          wire.Drains
 	paceWindow      paceWindow
+	slowness        slownessEstimate
 	// The worker counts as lossy from lossySince until lossyUntil.
 	lossySince, lossyUntil time.Duration
 	answerDelay            time.Duration // longest recent delay of an answer, decaying
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -28,6 +28,8 @@
 	m   *Machine
 	now time.Duration
 	seq uint64
+
+	finishedRuns int64 // by finishJobs
 }
 
 func newRig(t *testing.T) *rig {
--- a/internal/runs/pace.go
+++ b/internal/runs/pace.go
@@ -31,16 +31,16 @@
 	moveTimeFactor = 1.5
 )
 
-// pace returns the speed of a run so far as a fraction of the expected speed, and whether it
-// can be determined yet. The result is the highest speed that the reported whole percent
+// pace returns the speed of a run so far as a fraction of the speed expected on this worker, and
+// whether it can be determined yet. The result is the highest speed that the reported whole percent
 // allows. A run without any progress is left to trackProgress.
-func (r *run) pace(now time.Duration) (float64, bool) {
+func (m *Machine) pace(now time.Duration, r *run) (float64, bool) {
 	age := now - r.acceptedAt
 	if r.state != running || r.expectedTime <= 0 || r.percent <= 0 || age < minPaceAge {
 		return 0, false
 	}
 	doneTime := float64(min(r.percent+1, 100)) / 100 * float64(r.expectedTime)
-	return doneTime / float64(age), true
+	return doneTime * max(1, m.announcedSlowness()) / float64(age), true
 }
 
 // paceWindow records whether the newest jobs were slow on the worker.
@@ -83,7 +83,7 @@
 		return
 	}
 	for _, r := range m.sortedRuns() {
-		if speed, ok := r.pace(now); ok {
+		if speed, ok := m.pace(now, r); ok {
 			m.paceWindow.recordJob(r.key.Job, speed)
 		}
 	}
@@ -119,7 +119,9 @@
 // before their progress can be judged.
 func (m *Machine) recordFinishedPace(now time.Duration, r *run) {
 	if r.expectedTime > 0 && r.isAccepted {
-		m.paceWindow.recordJob(r.key.Job, float64(r.expectedTime)/float64(max(now-r.acceptedAt, time.Millisecond)))
+		runTime := max(now-r.acceptedAt, time.Millisecond)
+		m.paceWindow.recordJob(r.key.Job, max(1, m.announcedSlowness())*float64(r.expectedTime)/float64(runTime))
+		m.recordSlowness(now, r, runTime)
 	}
 }
 
@@ -127,7 +129,7 @@
 // is moved only once, because one that is slow on every worker would otherwise never finish.
 func (m *Machine) moveSlowRuns(now time.Duration) {
 	for _, r := range m.sortedRuns() {
-		speed, ok := r.pace(now)
+		speed, ok := m.pace(now, r)
 		if !ok || speed >= minGoodPace || r.hasMoved {
 			continue
 		}
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -138,7 +138,7 @@
 // made sure that the instance runs nothing any more.
 func (m *Machine) endInstance(now time.Duration) {
 	m.endAllRuns(now, m.isExitUnannounced())
-	m.instance, m.paceWindow = instance{}, paceWindow{}
+	m.instance, m.paceWindow, m.slowness = instance{}, paceWindow{}, slownessEstimate{}
 	m.worker = wire.RunWorker{Leaving: m.isGuardDraining}
 }
 
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -1,5 +1,7 @@
 package sched
 
+import "cmp"
+
 // Resources is an amount of resources: what a task requires, or what a worker
 // has in total or has free.
 type Resources struct {
@@ -50,6 +52,7 @@
 	Capacity    Resources
 	Free        Resources // capacity minus the tasks that are running or were sent
 	State       State     // only Usable workers get tasks
+	Slowness    float64   // run time relative to the expected one; 0 for 1
 	MaxOwnTasks int       // most tasks of this entry during probation; 0 for no limit
 	OwnTasks    int       // tasks of this entry on the worker
 }
@@ -61,6 +64,9 @@
 	Label   string // label that the worker must have; empty for none
 	Rack    string // rack that holds the task's data; empty for none
 	Domain  string // failure domain of the entry
+	// MaxSlowness is the slowness of a worker up to which the task is expected to end in time; 0 if
+	// its end does not matter.
+	MaxSlowness float64
 	// IsExcluded reports whether the task must not be placed on the worker with
 	// the given index; nil if no worker is excluded.
 	IsExcluded func(index int) bool
@@ -112,32 +118,46 @@
 }
 
 // BestWorker returns the index of the worker for a task, or NoWorker. It prefers
-// the rack of the task's data, then the entry's own failure domain, then the
-// most free CPU. Preferring the own failure domain reduces traffic between
+// the rack of the task's data, then workers on which the task ends in time or
+// else soonest, then the entry's own failure domain, then the most free CPU. Preferring the own failure domain reduces traffic between
 // domains and makes entries of different domains rarely choose the same worker;
 // preferring the most free CPU keeps a job's tasks on few workers.
 func BestWorker(workers []WorkerView, req *TaskRequest) int {
-	best, bestRank := NoWorker, 0
+	best, bestRank := NoWorker, workerRank{}
 	for i := range workers {
 		w := &workers[i]
 		if !w.CanAccept(req) || req.IsExcluded != nil && req.IsExcluded(i) {
 			continue
 		}
 		rank := w.rank(req)
-		if best == NoWorker || rank > bestRank || rank == bestRank && w.Free.CPU > workers[best].Free.CPU {
+		if best == NoWorker || rank.isBefore(bestRank) || rank == bestRank && w.Free.CPU > workers[best].Free.CPU {
 			best, bestRank = i, rank
 		}
 	}
 	return best
 }
 
-func (w *WorkerView) rank(req *TaskRequest) int {
-	rank := 0
-	if req.Rack != "" && w.Rack == req.Rack {
-		rank += 2
-	}
-	if w.Domain == req.Domain {
-		rank++
+// workerRank is the order of preference among the workers that can accept a task.
+type workerRank struct {
+	isNearData  bool
+	slowness    float64 // 0 if the task is expected to end in time
+	isOwnDomain bool
+}
+
+func (w *WorkerView) rank(req *TaskRequest) workerRank {
+	rank := workerRank{isNearData: req.Rack != "" && w.Rack == req.Rack, isOwnDomain: w.Domain == req.Domain}
+	if slowness := cmp.Or(w.Slowness, 1); req.MaxSlowness > 0 && slowness > req.MaxSlowness {
+		rank.slowness = slowness
 	}
 	return rank
 }
+
+func (r workerRank) isBefore(other workerRank) bool {
+	switch {
+	case r.isNearData != other.isNearData:
+		return r.isNearData
+	case r.slowness != other.slowness:
+		return r.slowness < other.slowness
+	}
+	return r.isOwnDomain && !other.isOwnDomain
+}
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -65,6 +65,9 @@
 	Leaving  bool            `cbor:"8,keyasint,omitempty"`  // the worker or its guard has announced that it stops
 	Slow     bool            `cbor:"9,keyasint,omitempty"`  // its runs progress much more slowly than expected
 	Cold     bool            `cbor:"10,keyasint,omitempty"` // it reports that it is slow for now, after its start or a drain
+	// SlownessPercent is how long runs take there relative to the time expected of them, in percent;
+	// 0 if they take about that time.
+	SlownessPercent int `cbor:"12,keyasint,omitempty"`
 }
 
 // RunLoad is the state of a guard at one moment, as reported to one entry.
