runs: reports with an implausible clock or start time are passed over

A report of another writer with a clock of 9e18 ms gave the worker a fencing token that no guard could exceed: the worker was lost until it started again. TestInvalidReportIsRejected has both cases, red before.

--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -62,6 +62,10 @@
 	maxGPUs     = 1 << 16
 )
 
+// maxTimeMs is the upper limit of a plausible clock or start time, in milliseconds. The fencing token
+// follows from both: a report of another program could raise it beyond what any guard can exceed.
+const maxTimeMs = 1 << 43
+
 // Check returns an error if the report does not describe a usable worker. The report may come from
 // another program than a worker: without a clock, the worker would get a fencing token below those
 // of earlier guards, and an implausible capacity would allow more tasks than the worker has room
@@ -74,11 +78,11 @@
 		return errors.New("report without service")
 	case r.Domain == "":
 		return errors.New("report without failure domain")
-	case r.StartMs < 0:
+	case r.StartMs < 0 || r.StartMs > maxTimeMs:
 		return fmt.Errorf("report with a start time of %d ms", r.StartMs)
 	case r.Seq < 0:
 		return fmt.Errorf("report with number %d", r.Seq)
-	case r.ClockMs <= 0:
+	case r.ClockMs <= 0 || r.ClockMs > maxTimeMs:
 		return fmt.Errorf("report with a clock of %d ms", r.ClockMs)
 	case r.Capacity.CPU < 0 || r.Capacity.MemoryMB < 0 || r.Capacity.GPUs < 0,
 		r.Capacity.CPU > maxCPU || r.Capacity.MemoryMB > maxMemoryMB || r.Capacity.GPUs > maxGPUs:
