batchnode: announcers are ranked by arithmetic, and an entry accepts four links at a time

Cause: at each change of the list of entries every entry ranked 183 addresses for each of 827 guards, before and after the change: 2 x 58 ms of processor, 0.6 s on an entry of 0.19 cores. That is longer than the pause after which an entry takes itself for frozen and answers all its jobs as unknown.

Besides, an entry that restarts accepts four links at a time, so that its callers do not wait behind the handshakes of all guards.

Test: TestAnnouncersAreRankedCheaply (allocations do not grow with the entries; they did).

--- a/internal/batchnode/announce.go
+++ b/internal/batchnode/announce.go
@@ -1,7 +1,6 @@
 package batchnode
 
 import (
-	"cmp"
 	"hash/fnv"
 	"io"
 	"slices"
@@ -19,41 +18,56 @@
 // when one of them is no longer listed.
 const announcersPerGuard = 3
 
-// announcersFor returns the known addresses of the entries that tell a guard the addresses.
-func announcersFor(guard identity.Incarnation, known []string) []string {
-	var first []weightedAddress // the greatest weight first
-	for _, a := range known {
-		candidate := weightedAddress{address: a, weight: announceWeight(a, guard)}
-		if len(first) == announcersPerGuard && first[len(first)-1].compare(candidate) < 0 {
-			continue
+// addressList is a sorted list of addresses of entries, with their hashes. A change of the list
+// ranks every address for every guard, so that a rank must cost no more than some arithmetic.
+type addressList struct {
+	addresses []string
+	hashes    []uint64
+}
+
+func newAddressList(sorted []string) addressList {
+	l := addressList{addresses: sorted, hashes: make([]uint64, len(sorted))}
+	for i, a := range sorted {
+		l.hashes[i] = hashOf(a)
+	}
+	return l
+}
+
+// announcersFor returns the addresses of the entries that tell a guard the addresses. guardHash is
+// the hash of its incarnation.
+func (l *addressList) announcersFor(guardHash uint64) []string {
+	var first [announcersPerGuard]int // positions, the greatest weight first
+	var weights [announcersPerGuard]uint64
+	n := min(announcersPerGuard, len(l.hashes))
+	for position, h := range l.hashes {
+		weight := mix(h ^ guardHash)
+		for rank := range n {
+			if weight > weights[rank] || weights[rank] == 0 {
+				copy(first[rank+1:n], first[rank:])
+				copy(weights[rank+1:n], weights[rank:])
+				first[rank], weights[rank] = position, max(weight, 1)
+				break
+			}
 		}
-		position, _ := slices.BinarySearchFunc(first, candidate, weightedAddress.compare)
-		first = slices.Insert(first, position, candidate)
-		first = first[:min(len(first), announcersPerGuard)]
 	}
-	addresses := make([]string, len(first))
-	for i := range first {
-		addresses[i] = first[i].address
+	addresses := make([]string, n)
+	for rank := range n {
+		addresses[rank] = l.addresses[first[rank]]
 	}
 	return addresses
 }
 
-// weightedAddress is an address with its weight for one guard.
-type weightedAddress struct {
-	address string
-	weight  uint64
-}
-
-func (w weightedAddress) compare(other weightedAddress) int {
-	return cmp.Or(cmp.Compare(other.weight, w.weight), cmp.Compare(w.address, other.address))
+func hashOf(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, s) // a hash does not fail
+	return h.Sum64()
 }
 
-func announceWeight(address string, guard identity.Incarnation) uint64 {
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, string(guard)) // a hash does not fail
-	_, _ = io.WriteString(h, address)
-	weight := h.Sum64()
-	return (weight ^ weight>>32) * 0x9e3779b97f4a7c15 // spreads the last bytes over all bits
+// mix returns a value whose every bit depends on all bits of h.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
 }
 
 // SetEntries stores the addresses of all entries, to which it adds its own. It sends those that were
@@ -68,15 +82,15 @@
 	addresses = slices.Compact(addresses)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if slices.Equal(addresses, e.known) {
+	if slices.Equal(addresses, e.known.addresses) {
 		return
 	}
 	previous := e.known
-	e.known = addresses
+	e.known = newAddressList(addresses)
 	e.opt.Log.Info("entries changed", "entries", len(addresses))
 	e.machine.SetEntries(len(addresses))
 	for id := range e.links {
-		if news := e.newAddressesFor(id, previous); len(news) > 0 {
+		if news := e.newAddressesFor(id, &previous); len(news) > 0 {
 			e.sendToGuard(id, &wire.Frame{Entries: &wire.Entries{Addresses: news}})
 		}
 	}
@@ -85,21 +99,22 @@
 // addressesFor returns the addresses that a new link of a guard is told: all if this entry is one of
 // the guard's announcers, else those of the announcers.
 func (e *Entry) addressesFor(guard identity.Incarnation) []string {
-	announcers := announcersFor(guard, e.known)
+	announcers := e.known.announcersFor(hashOf(string(guard)))
 	if slices.Contains(announcers, e.opt.Address) {
-		return e.known
+		return e.known.addresses
 	}
 	return announcers
 }
 
 // newAddressesFor returns the addresses that a guard is told after the known ones have changed.
-func (e *Entry) newAddressesFor(guard identity.Incarnation, previous []string) []string {
-	before, now := announcersFor(guard, previous), announcersFor(guard, e.known)
+func (e *Entry) newAddressesFor(guard identity.Incarnation, previous *addressList) []string {
+	guardHash := hashOf(string(guard))
+	before, now := previous.announcersFor(guardHash), e.known.announcersFor(guardHash)
 	switch isAnnouncer := slices.Contains(now, e.opt.Address); {
 	case isAnnouncer && slices.Contains(before, e.opt.Address):
-		return withoutKnown(e.known, previous)
+		return withoutKnown(e.known.addresses, previous.addresses)
 	case isAnnouncer:
-		return e.known
+		return e.known.addresses
 	}
 	return withoutKnown(now, before)
 }
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -43,7 +43,8 @@
 	machine        *batch.Machine
 	links          map[identity.Incarnation]wire.Link
 	waiters        map[string][]*waiter
-	known          []string // addresses of all entries, this one included
+	acceptSlots    chan struct{} // one element for each link that is being accepted
+	known          addressList   // addresses of all entries, this one included
 	queries        queries
 	outgoingCopies outgoingCopies
 	deadlineTimer  *deadlineTimer
@@ -77,7 +78,8 @@
 		machine:        batch.New(opt.Clock(), batch.Options{Domain: opt.Domain, Seed: opt.Seed, Timing: opt.Timing, Disabled: policy.Linked()}),
 		links:          make(map[identity.Incarnation]wire.Link),
 		waiters:        make(map[string][]*waiter),
-		known:          []string{opt.Address},
+		acceptSlots:    make(chan struct{}, maxConcurrentAccepts),
+		known:          newAddressList([]string{opt.Address}),
 		queries:        queries{pending: make(map[uint64]*query)},
 		outgoingCopies: outgoingCopies{inProgress: make(map[wire.Link]*outgoingCopy)},
 	}
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -16,9 +16,14 @@
 // helloTimeout is how long an entry waits for the first frame of a link.
 const helloTimeout = 2 * time.Second
 
+// maxConcurrentAccepts is the number of links that an entry accepts at once. All guards dial an entry
+// that has restarted; if it served hundreds of handshakes at the same time, callers would wait behind
+// all of them for a turn on its processor.
+const maxConcurrentAccepts = 4
+
 // ServeHTTP accepts links of guards.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	link, err := wire.Accept(w, r, nil)
+	link, err := e.accept(w, r)
 	if err != nil {
 		e.opt.Log.Warn("link not accepted", "remote", r.RemoteAddr, "err", err)
 		return
@@ -26,6 +31,17 @@
 	go e.Serve(context.Background(), link)
 }
 
+// accept upgrades a request to a link once fewer than maxConcurrentAccepts others are in progress.
+func (e *Entry) accept(w http.ResponseWriter, r *http.Request) (wire.Link, error) {
+	select {
+	case e.acceptSlots <- struct{}{}:
+	case <-r.Context().Done():
+		return nil, r.Context().Err() // the guard has given the handshake up
+	}
+	defer func() { <-e.acceptSlots }()
+	return wire.Accept(w, r, nil)
+}
+
 // Serve performs the handshake on a link and handles its frames until it is closed.
 func (e *Entry) Serve(ctx context.Context, link wire.Link) {
 	hello, err := e.receiveHello(ctx, link)
--- a/internal/batchnode/guardlink_test.go
+++ b/internal/batchnode/guardlink_test.go
@@ -124,6 +124,40 @@
 	})
 }
 
+// Guards against a pause of an entry at each change of the entries: ranking all of them for every guard
+// took a small entry 0.3 s in a large fleet, longer than its callers can wait.
+func TestAnnouncersAreRankedCheaply(t *testing.T) {
+	allocations := func(entries int) float64 {
+		var addresses []string
+		for i := range entries {
+			addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:8166", i/256, i%256))
+		}
+		list := newAddressList(addresses)
+		return testing.AllocsPerRun(100, func() { list.announcersFor(hashOf("guard-1")) })
+	}
+	qt.Check(t, allocations(200) <= allocations(20), qt.IsTrue)
+	list := newAddressList([]string{"a", "b", "c", "d", "e"})
+	qt.Check(t, list.announcersFor(hashOf("guard-1")), qt.HasLen, announcersPerGuard)
+}
+
+// Guards against guards that are told by the same few entries, or by fewer than there should be.
+func TestAnnouncersAreSpreadOverEntries(t *testing.T) {
+	var addresses []string
+	for i := range 20 {
+		addresses = append(addresses, fmt.Sprintf("10.0.0.%02d:8166", i))
+	}
+	list, guardsOf := newAddressList(addresses), make(map[string]int)
+	for i := range 400 {
+		for _, a := range list.announcersFor(hashOf(fmt.Sprintf("side-%d-2e5822156e27", i))) {
+			guardsOf[a]++
+		}
+	}
+	for _, a := range addresses {
+		n := guardsOf[a]
+		qt.Check(t, n > 30 && n < 100, qt.IsTrue, qt.Commentf("%s tells %d guards", a, n)) // 60 on average
+	}
+}
+
 // announcedAddresses returns how many addresses of entries one guard receives while the given number
 // of entries starts. It checks that the guard is linked to all of them in the end.
 func announcedAddresses(t *testing.T, entries int) int64 {
--- a/internal/batchnode/query.go
+++ b/internal/batchnode/query.go
@@ -112,7 +112,7 @@
 func (e *Entry) isOnlyEntry() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.known) == 1
+	return len(e.known.addresses) == 1
 }
 
 // queryOthers queries all other entries through a guard that is not in triedGuards, and adds it
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	e.mu.Lock()
-	seq, q := e.queries.begin(len(e.known) - 1)
+	seq, q := e.queries.begin(len(e.known.addresses) - 1)
 	e.sendQuery(&wire.JobQuery{Seq: seq, From: e.id, Job: id, Cancel: cancelJob}, triedGuards)
 	e.mu.Unlock()
 	select {
