runs: Holds to a worker that refuses connections pause

Found on reading: the suspicion of a restart asked again at once after each refused connection, for as long as the worker was down.

--- a/internal/runs/restart.go
+++ b/internal/runs/restart.go
@@ -101,9 +101,10 @@
 }
 
 // suspectRestart notes that the worker may have restarted under its ID. Until it has answered a
-// Hold it gets no orders that an earlier instance might have been given.
+// Hold, of which the first is sent at once, it gets no orders that an earlier instance might have
+// been given.
 func (m *Machine) suspectRestart(now time.Duration) {
-	if m.instance.StartMs == 0 {
+	if m.instance.StartMs == 0 || m.instance.mayHaveRestarted {
 		return
 	}
 	m.instance.mayHaveRestarted, m.instance.needsProbe = true, true
--- a/internal/runs/restart_test.go
+++ b/internal/runs/restart_test.go
@@ -251,3 +251,20 @@
 	r.sendTasks(r.now, 3)
 	r.Check(groupActions(r.actions()).starts, qt.DeepEquals, []Key{key(3)})
 }
+
+// Guards against a guard that sends Holds without a pause while its worker is down and its address
+// refuses connections.
+func TestHoldsToRefusingWorkerPause(t *testing.T) {
+	r := newStartRig(t)
+	r.sendTasks(r.now, 1)
+	r.answerStart(key(1), Done)
+	holds := 0
+	for range 1000 { // one second
+		r.advance(time.Millisecond)
+		holds += len(groupActions(r.actions()).holds)
+		if r.m.instance.hasHoldInFlight {
+			r.m.HandleHoldAnswer(r.now, startedAt(firstStartMs), &HoldAnswer{Verdict: NoAnswer, IsConnRefused: true, IsConnLost: true})
+		}
+	}
+	r.Check(holds <= maxUnansweredHolds+3, qt.IsTrue, qt.Commentf("%d Holds", holds))
+}
