--- a/internal/batchnode/announce.go
+++ b/internal/batchnode/announce.go
@@ -106,7 +106,8 @@
 	return announcers
 }
 
-// newAddressesFor returns the addresses that a guard is told after the known ones have changed.
+// newAddressesFor returns the addresses that a guard is told after the known ones have changed. previous
+// are those before the change.
 func (e *Entry) newAddressesFor(guard identity.Incarnation, previous *addressList) []string {
 	guardHash := hashOf(string(guard))
 	before, now := previous.announcersFor(guardHash), e.known.announcersFor(guardHash)
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -35,7 +35,7 @@
 	lastSentAt       time.Duration // when the last start was sent
 	isAccepted       bool          // the worker has confirmed the start
 	acceptedAt       time.Duration // when the worker confirmed the start
-	outlastsInstance bool          // an instance that replaces the present one has listed it as active
+	outlastsInstance bool          // it does not end with the present instance: it may be active at its successor
 	missingSince     time.Duration // when a Hold answer first listed the run neither as active nor as ended; 0 if none did
 	expectedTime     time.Duration // expected run time; 0 if unknown
 	hasMoved         bool          // already moved off a slow worker, must not move again
