rendezvous: roster and announcers share one rendezvous hash

Announcers had a second FNV and a second finalizer beside those of roster/view.go, which rank members in the same way by hashes computed beforehand.

--- a/internal/batchnode/fleet_test.go
+++ b/internal/batchnode/fleet_test.go
@@ -112,10 +112,20 @@
 
 // guard starts a guard with the given addresses of entries; lookup is what the store lists.
 func (f *fleet) guard(w Worker, lookup []string, entries ...string) *Guard {
-	g := NewGuard(GuardOptions{
-		Name: "guard", Entries: entries, Worker: w, Clock: f.clock, Metrics: telemetry.New(), Log: discardLogger(),
+	return f.guardWith(GuardOptions{
+		Name: "guard", Entries: entries, Worker: w,
 		Dial: f.dial, Lookup: func(context.Context) ([]string, error) { return lookup, nil },
 	})
+}
+
+// guardWith starts a guard with the given options and the fleet's clock. Without Lookup, the store
+// lists nothing.
+func (f *fleet) guardWith(opt GuardOptions) *Guard {
+	opt.Clock, opt.Metrics, opt.Log = f.clock, telemetry.New(), discardLogger()
+	if opt.Lookup == nil {
+		opt.Lookup = func(context.Context) ([]string, error) { return nil, nil }
+	}
+	g := NewGuard(opt)
 	f.guards = append(f.guards, g)
 	go g.Run(f.ctx)
 	return g
--- a/internal/batchnode/guardlink_test.go
+++ b/internal/batchnode/guardlink_test.go
@@ -12,7 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"wigeontray/internal/telemetry"
+	"wigeontray/internal/identity"
 	"wigeontray/internal/wire"
 )
 
@@ -41,12 +41,7 @@
 			return nil, errors.New("connect timeout")
 		}
 		for range guards {
-			g := NewGuard(GuardOptions{
-				Name: "guard", Entries: []string{"entry"}, Worker: newWorker(f, time.Second), Clock: f.clock,
-				Metrics: telemetry.New(), Log: discardLogger(), Dial: dial,
-				Lookup: func(context.Context) ([]string, error) { return nil, nil },
-			})
-			go g.Run(f.ctx)
+			f.guardWith(GuardOptions{Name: "guard", Entries: []string{"entry"}, Worker: newWorker(f, time.Second), Dial: dial})
 			time.Sleep(7 * time.Millisecond) // the guards restart one after the other
 		}
 		time.Sleep(1300 * time.Millisecond)
@@ -97,13 +92,7 @@
 			}
 		}
 		for i := range guards {
-			g := NewGuard(GuardOptions{
-				Name: fmt.Sprint("guard-", i), Entries: addresses, Worker: newWorker(f, time.Second), Clock: f.clock,
-				Metrics: telemetry.New(), Log: discardLogger(), Dial: dial,
-				Lookup: func(context.Context) ([]string, error) { return nil, nil },
-			})
-			f.guards = append(f.guards, g)
-			go g.Run(f.ctx)
+			f.guardWith(GuardOptions{Name: fmt.Sprint("guard-", i), Entries: addresses, Worker: newWorker(f, time.Second), Dial: dial})
 		}
 		time.Sleep(2 * guards * handshakeTime)
 		linked := 0
@@ -115,8 +104,8 @@
 	})
 }
 
-// Guards against lists of entries whose number grows with the square of the entries: at the start of
-// a large fleet, every entry told every guard of every other entry.
+// Guards against lists of entries that grow with the square of the entries: at the start of a large
+// fleet, every entry sent every guard the address of every other entry.
 func TestAnnouncedAddressesGrowWithTheFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		small, large := announcedAddresses(t, 8), announcedAddresses(t, 32)
@@ -124,8 +113,8 @@
 	})
 }
 
-// Guards against a pause of an entry at each change of the entries: ranking all of them for every guard
-// took a small entry 0.3 s in a large fleet, longer than its callers can wait.
+// Guards against a pause of an entry at each change of the entries, longer than its callers can wait,
+// because it ranks all of them for every guard.
 func TestAnnouncersAreRankedCheaply(t *testing.T) {
 	allocations := func(entries int) float64 {
 		var addresses []string
@@ -133,14 +122,14 @@
 			addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:8166", i/256, i%256))
 		}
 		list := newAddressList(addresses)
-		return testing.AllocsPerRun(100, func() { list.announcersFor(hashOf("guard-1")) })
+		return testing.AllocsPerRun(100, func() { list.announcersFor("guard-1") })
 	}
 	qt.Check(t, allocations(200) <= allocations(20), qt.IsTrue)
 	list := newAddressList([]string{"a", "b", "c", "d", "e"})
-	qt.Check(t, list.announcersFor(hashOf("guard-1")), qt.HasLen, announcersPerGuard)
+	qt.Check(t, list.announcersFor("guard-1"), qt.HasLen, announcersPerGuard)
 }
 
-// Guards against guards that are told by the same few entries, or by fewer than there should be.
+// Guards against guards that all have the same few announcers.
 func TestAnnouncersAreSpreadOverEntries(t *testing.T) {
 	var addresses []string
 	for i := range 20 {
@@ -148,13 +137,13 @@
 	}
 	list, guardsOf := newAddressList(addresses), make(map[string]int)
 	for i := range 400 {
-		for _, a := range list.announcersFor(hashOf(fmt.Sprintf("side-%d-2e5822156e27", i))) {
+		for _, a := range list.announcersFor(identity.Incarnation(fmt.Sprintf("side-%d-2e5822156e27", i))) {
 			guardsOf[a]++
 		}
 	}
 	for _, a := range addresses {
 		n := guardsOf[a]
-		qt.Check(t, n > 30 && n < 100, qt.IsTrue, qt.Commentf("%s tells %d guards", a, n)) // 60 on average
+		qt.Check(t, n > 30 && n < 100, qt.IsTrue, qt.Commentf("%s is the announcer of %d guards", a, n)) // 60 on average
 	}
 }
 
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -1,11 +1,11 @@
 package roster
 
 import (
-	"math"
 	"time"
 
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
+	"wigeontray/internal/rendezvous"
 )
 
 // View is an immutable snapshot of what one entry may start. The Machine publishes a
@@ -93,7 +93,7 @@
 	h := keyHash(member, key)
 	best, bestScore := 0, uint64(0)
 	for j, memberHash := range v.memberHashes[i] {
-		if score := splitMix64(h ^ memberHash); j == 0 || score > bestScore {
+		if score := rendezvous.Weight(h, memberHash); j == 0 || score > bestScore {
 			best, bestScore = j, score
 		}
 	}
@@ -161,45 +161,17 @@
 	return max(time.Duration(aheadMs)*time.Millisecond, retryAfter)
 }
 
-// Parameters of 64-bit FNV-1a.
-const (
-	fnvOffset = 14695981039346656037
-	fnvPrime  = 1099511628211
-)
-
-// keyHash hashes an identity. The result must be the same in every process and every
-// release: two entries with different hashes would both own the same key.
+// keyHash hashes an identity.
 func keyHash(member string, key identity.Key) uint64 {
-	h := fnvString(fnvOffset, member)
-	h = (h ^ math.MaxUint8) * fnvPrime // separates member from UUID
-	for _, b := range key.UUID {
-		h = (h ^ uint64(b)) * fnvPrime
-	}
-	return h
-}
-
-func fnvString(h uint64, s string) uint64 {
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * fnvPrime
-	}
-	return h
-}
-
-// splitMix64 is the finalizer of the SplitMix64 generator. It spreads similar hashes
-// over the whole range.
-func splitMix64(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+	const separator = "\xff" // between member and UUID
+	return rendezvous.KeyHash(member, separator, string(key.UUID[:]))
 }
 
 // hashMembers returns one rendezvous hash per member of v.
 func hashMembers(v Version) []uint64 {
 	hashes := make([]uint64, len(v.Members))
 	for i, m := range v.Members {
-		hashes[i] = splitMix64(fnvString(fnvOffset, string(m.Incarnation)))
+		hashes[i] = rendezvous.MemberHash(string(m.Incarnation))
 	}
 	return hashes
 }
