batchnode, pause: the wait of a watch is decided outside platform/, one jitter

platform/kv.go decided how long a watch waits, and got the number of entries by a copy that the list's reader set. The wait is drawn anew for each call, as before.

--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -276,9 +275,3 @@
 	defer g.mu.Unlock()
 	return g.machine.IsSettled()
 }
-
-// jitter returns a random duration between d/2 and d, so that processes do not act at the same
-// time.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(rand.Int64N(int64(d/2)+1))
-}
--- a/internal/batchnode/guardconfig.go
+++ b/internal/batchnode/guardconfig.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"wigeontray/internal/pause"
 	"wigeontray/internal/policy"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
@@ -83,7 +84,7 @@
 		l := sources[rand.IntN(len(sources))]
 		_ = l.link.Send(&wire.Frame{DesiredConfig: &wire.DesiredConfig{Version: g.configVersion}}) // see execute
 	}
-	time.AfterFunc(jitter(retryDelay), func() { g.fetchConfig(min(2*retryDelay, maxFetchRetryDelay)) })
+	time.AfterFunc(pause.Jitter(retryDelay), func() { g.fetchConfig(min(2*retryDelay, maxFetchRetryDelay)) })
 }
 
 // linksWithNewerConfig returns the links to entries that have a newer configuration, and
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -18,8 +18,6 @@
 
 // Timing of links.
 const (
-	// dialTimeout is the timeout for a TCP connection.
-	dialTimeout = 300 * time.Millisecond
 	// minHandshakeTimeout is the first timeout for a dial including its handshake. It doubles up
 	// to maxHandshakeTimeout with each handshake that an entry has not completed in time: an entry
 	// that receives the dials of all its guards at once would spend its processor time on
@@ -32,11 +30,12 @@
 	maxConcurrentDials = 16
 	dialSlotTimeout    = 300 * time.Millisecond
 	// quickConnectTimeout is the timeout for the TCP connection, except that every
-	// longConnectEvery-th attempt may take dialTimeout. A VM that is down does not answer at
-	// all: a guard that waited for dialTimeout each time would detect late that its entry is
-	// back, and until then the entry would refuse its callers. A round trip between regions
-	// is shorter than quickConnectTimeout.
+	// longConnectEvery-th attempt may take longConnectTimeout. A VM that is down does not answer
+	// at all: a guard that waited for longConnectTimeout each time would detect late that its
+	// entry is back, and until then the entry would refuse its callers. A round trip between
+	// regions is shorter than quickConnectTimeout.
 	quickConnectTimeout = 60 * time.Millisecond
+	longConnectTimeout  = 300 * time.Millisecond
 	longConnectEvery    = 8
 	// minRedialDelay is the first delay between dials. It doubles up to maxRecentRedialDelay
 	// or maxRedialDelay.
@@ -103,7 +102,7 @@
 			g.goroutines.Go(func() { g.rediscoverEntries(ctx) })
 			return
 		}
-		pause.For(ctx, jitter(backoff))
+		pause.For(ctx, pause.Jitter(backoff))
 		backoff = min(2*backoff, redialDelayLimit(time.Since(lastLinkedAt)))
 	}
 }
@@ -111,7 +110,7 @@
 // connectTimeoutFor returns the timeout for the TCP connection of the given dial attempt.
 func connectTimeoutFor(attempt int) time.Duration {
 	if attempt%longConnectEvery == 0 {
-		return dialTimeout // in case a round trip exceeds quickConnectTimeout
+		return longConnectTimeout // in case a round trip exceeds quickConnectTimeout
 	}
 	return quickConnectTimeout
 }
@@ -129,7 +128,7 @@
 // entry may only have been partitioned from this guard, and other entries announce an address
 // only once.
 func (g *Guard) rediscoverEntries(ctx context.Context) {
-	pause.For(ctx, jitter(lookupInterval))
+	pause.For(ctx, pause.Jitter(lookupInterval))
 	found, err := g.opt.Lookup(ctx)
 	if err != nil {
 		g.opt.Log.Warn("entry lookup in the store failed", "err", err)
@@ -293,7 +292,7 @@
 			}
 			g.AddEntries(found)
 		}
-		pause.For(ctx, jitter(interval))
+		pause.For(ctx, pause.Jitter(interval))
 		interval = lookupInterval
 	}
 }
--- a/internal/batchnode/returns_test.go
+++ b/internal/batchnode/returns_test.go
@@ -159,3 +159,11 @@
 		f.Check(next().Entries.Addresses, qt.DeepEquals, []string{"b", "c"})
 	})
 }
+
+// Guards against store calls that grow with the number of entries: each entry's watch call counts.
+func TestWatchCallsGrowMoreSlowlyThanEntries(t *testing.T) {
+	callsPerSecond := func(entries int) float64 { return float64(entries) / watchWaitFor(entries).Seconds() }
+	qt.Check(t, callsPerSecond(16) <= callsPerSecond(4), qt.IsTrue)
+	qt.Check(t, callsPerSecond(400) <= 400/(4*MinWatchWait.Seconds()), qt.IsTrue)
+	qt.Check(t, watchWaitFor(1), qt.Equals, MinWatchWait)
+}
--- a/internal/batchnode/source.go
+++ b/internal/batchnode/source.go
@@ -54,7 +54,7 @@
 		err := s.followOnce(ctx, handler, onAnswer)
 		if err != nil && ctx.Err() == nil {
 			s.logReachability(&isReachable, errors.Is(err, store.ErrCompacted), err)
-			pause.For(ctx, jitter(storeRetryDelay))
+			pause.For(ctx, pause.Jitter(storeRetryDelay))
 		}
 	}
 }
--- a/internal/batchnode/upkeep.go
+++ b/internal/batchnode/upkeep.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"wigeontray/internal/pause"
 	"wigeontray/internal/store"
 	"wigeontray/internal/telemetry"
 )
@@ -24,8 +25,31 @@
 	// storeRetryDelay is the delay after a failed call: the store may be unavailable for a
 	// long time, and every call adds load.
 	storeRetryDelay = 400 * time.Millisecond
+	// MinWatchWait is the shortest time for which the store holds a watch call open for a change.
+	// It also bounds the time until a dead connection is detected, as a configuration must be in
+	// force within 2 s. See Entry.WatchWait.
+	MinWatchWait = 1200 * time.Millisecond
+	maxWatchWait = 4 * MinWatchWait
+	// watchRenewalInterval is the mean time between two watch calls of all entries together.
+	watchRenewalInterval = MinWatchWait / 4
 )
 
+// WatchWait returns how long the next watch call of this entry waits for a change. The duration is
+// random, so that the calls of the entries do not coincide.
+func (e *Entry) WatchWait() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(MinWatchWait, pause.Jitter(watchWaitFor(len(e.known.addresses))))
+}
+
+// watchWaitFor returns the longest wait of a watch call in a fleet with the given number of entries.
+// An entry whose watch has a dead connection receives a change from its guards, as long as another
+// entry's watch is new enough. The calls of all entries together therefore need not grow with their
+// number.
+func watchWaitFor(entries int) time.Duration {
+	return min(max(MinWatchWait, time.Duration(entries)*watchRenewalInterval), maxWatchWait)
+}
+
 // Registration keeps the address of an entry registered in the store, under a lease.
 type Registration struct {
 	Store    store.Store
@@ -42,7 +66,7 @@
 		delay := renewInterval
 		if err := r.renew(ctx, &lease); err != nil && ctx.Err() == nil {
 			r.Log.Warn("registration in the store failed", "err", err)
-			delay = jitter(storeRetryDelay)
+			delay = pause.Jitter(storeRetryDelay)
 		}
 		r.Recovery.wait(ctx, delay)
 	}
@@ -165,6 +189,6 @@
 			delay = 2 * listInterval
 		}
 		previous = addresses
-		l.Recovery.wait(ctx, jitter(delay))
+		l.Recovery.wait(ctx, pause.Jitter(delay))
 	}
 }
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -78,7 +78,7 @@
 	if suspected {
 		return recheckDelay
 	}
-	return jitter(s.opts.VerifyInterval)
+	return pause.Jitter(s.opts.VerifyInterval)
 }
 
 // readAll reads all records and returns the revision from which to watch.
--- a/internal/confsync/resolve.go
+++ b/internal/confsync/resolve.go
@@ -28,7 +28,7 @@
 		if result != outcomeUnknown {
 			return result, revision, current
 		}
-		pause.For(ctx, jitter(resolveRetryDelay))
+		pause.For(ctx, pause.Jitter(resolveRetryDelay))
 	}
 	return outcomeUnknown, 0, 0
 }
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -13,7 +13,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -221,7 +220,7 @@
 		if time.Since(start) > s.opts.MaxBackoff {
 			backoff = s.opts.MinBackoff
 		}
-		pause.For(ctx, jitter(backoff))
+		pause.For(ctx, pause.Jitter(backoff))
 		backoff = min(2*backoff, s.opts.MaxBackoff)
 	}
 	return ctx.Err()
@@ -261,12 +260,6 @@
 	s.opts.Logger.Warn("store does not answer; keeping the current configuration", "revision", s.Revision(), "err", err)
 }
 
-// jitter returns a random duration between d/2 and d, so that entries which lost
-// the store at the same moment do not all reconnect at the same moment.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d/2+1)
-}
-
 func (s *Sync) count(name string) {
 	metrics.GetOrRegisterCounter("config."+name, s.opts.Registry).Inc(1)
 }
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,9 +1,10 @@
-// Package pause provides a sleep that a context can interrupt. It imports no other
-// package of the project.
+// Package pause provides a sleep that a context can interrupt, and random durations. It imports no
+// other package of the project.
 package pause
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -18,3 +19,7 @@
 		return false
 	}
 }
+
+// Jitter returns a random duration between d/2 and d, so that processes that wait for the same event
+// do not all act at the same moment.
+func Jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
