runs, batch, sched: one conversion of slowness, one end of lost runs, no special case for no limit

wire.RunWorker.Slowness serves guard and entry; expectedTimeHere serves both judgements of pace; endLost replaces a variable and two literals of the same end. A task whose end cannot be foretold has an infinite MaxSlowness in place of 0, which needed a smallest number beside it. Tests: startTask in place of three lines; the comment of TestUnknownFieldsAreIgnored stood above another test.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -156,9 +156,9 @@
 func (m *Machine) maxSlowness(now time.Duration, j *job, s *step) float64 {
 	expected := m.expectedRunTime(j.spec.Queue, s.spec)
 	if expected <= 0 || m.options.Disabled.Has(policy.WorkerSpeeds) {
-		return 0
+		return math.Inf(1)
 	}
-	return max(float64(j.targetEnd-now)/(runTimeMargin*float64(expected)), math.SmallestNonzeroFloat64)
+	return float64(j.targetEnd-now) / (runTimeMargin * float64(expected))
 }
 
 // batchFor returns the batch of a guard, and adds an empty one if there is none.
--- a/internal/batch/site.go
+++ b/internal/batch/site.go
@@ -130,7 +130,7 @@
 		m.limitColdWorker(g)
 	}
 	view := &m.workers[g.position]
-	view.Slowness = float64(w.SlownessPercent) / 100
+	view.Slowness = w.Slowness()
 	view.Service, view.Domain, view.Rack, view.Labels, view.Capacity = w.Service, w.Domain, w.Rack, w.Labels, w.Capacity
 	m.updateState(g)
 }
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -189,7 +189,7 @@
 	if r.state == stopping {
 		return r.endAfterStop
 	}
-	return wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes}
+	return endLost()
 }
 
 // reconcile compares the recorded runs with those that the worker lists as active. A run
@@ -216,7 +216,7 @@
 		case r.state == running && r.acceptedAt < sentAt && r.missingSince == 0:
 			r.missingSince, m.instance.nextHoldAt = now, now
 		case r.state == running && r.missingSince > 0 && r.missingSince <= sentAt:
-			m.endRun(now, r, lostRunEnd)
+			m.endRun(now, r, endLost())
 		case r.state == stopping && r.stopConfirmedAt > 0 && r.stopConfirmedAt < sentAt:
 			m.endRun(now, r, r.endAfterStop)
 		}
--- a/internal/runs/left_test.go
+++ b/internal/runs/left_test.go
@@ -13,9 +13,7 @@
 // was still running, and a booking was made twice.
 func TestRunsOfLeavingWorkerEndWithItsLease(t *testing.T) {
 	r := newRig(t)
-	r.sendTasks(r.now, 0)
-	r.answerStart(key(0), Done)
-	r.actions()
+	r.startTask(0)
 	r.m.HandleTermination(r.now, testWorker)
 	got := groupActions(r.actions())
 	r.Check(got.ends, qt.HasLen, 0)
@@ -38,9 +36,7 @@
 // of its last run.
 func TestLeavingWorkerReportsItsLastEnd(t *testing.T) {
 	r := newRig(t)
-	r.sendTasks(r.now, 0)
-	r.answerStart(key(0), Done)
-	r.actions()
+	r.startTask(0)
 	r.m.HandleTermination(r.now, testWorker)
 	r.actions()
 	r.answerHold(testWorker, HoldAnswer{Ended: []Ended{{Number: 1, Key: key(0), Outcome: EndStopped}}})
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -250,3 +250,6 @@
 
 // endWithdrawn returns the end of a run that was stopped and may have started.
 func endWithdrawn(kind errkind.Kind) wire.RunEnd { return wire.RunEnd{Kind: kind} }
+
+// endLost returns the end of a run that has ended with its worker.
+func endLost() wire.RunEnd { return wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes} }
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -89,6 +89,13 @@
 	r.m.HandleStartAnswer(r.now, k, StartAnswer{Verdict: v, ClockMs: r.clockMs()})
 }
 
+// startTask starts the task with the given index and takes the actions.
+func (r *rig) startTask(index int) {
+	r.sendTasks(r.now, index)
+	r.answerStart(key(index), Done)
+	r.actions()
+}
+
 // groupedActions is a list of actions by kind, without fetches and loads.
 type groupedActions struct {
 	starts []Key
--- a/internal/runs/pace.go
+++ b/internal/runs/pace.go
@@ -39,8 +39,8 @@
 	if r.state != running || r.expectedTime <= 0 || r.percent <= 0 || age < minPaceAge {
 		return 0, false
 	}
-	doneTime := float64(min(r.percent+1, 100)) / 100 * float64(r.expectedTime)
-	return doneTime * max(1, m.announcedSlowness()) / float64(age), true
+	doneTime := float64(min(r.percent+1, 100)) / 100 * float64(m.expectedTimeHere(r))
+	return doneTime / float64(age), true
 }
 
 // paceWindow records whether the newest jobs were slow on the worker.
@@ -120,7 +120,7 @@
 func (m *Machine) recordFinishedPace(now time.Duration, r *run) {
 	if r.expectedTime > 0 && r.isAccepted {
 		runTime := max(now-r.acceptedAt, time.Millisecond)
-		m.paceWindow.recordJob(r.key.Job, max(1, m.announcedSlowness())*float64(r.expectedTime)/float64(runTime))
+		m.paceWindow.recordJob(r.key.Job, float64(m.expectedTimeHere(r))/float64(runTime))
 		m.recordSlowness(now, r, runTime)
 	}
 }
--- a/internal/runs/restart.go
+++ b/internal/runs/restart.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"wigeontray/internal/errkind"
 	"wigeontray/internal/wire"
 )
 
@@ -208,6 +207,3 @@
 	}
 	return max(m.instance.leaseEnd, r.lastSentAt+m.maxLease+clockSkewMargin)
 }
-
-// lostRunEnd is the end of a run that has ended with its worker.
-var lostRunEnd = wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes}
--- a/internal/runs/restart_test.go
+++ b/internal/runs/restart_test.go
@@ -142,9 +142,7 @@
 // as many: a task that was done was started again.
 func TestEndsOfRestartedWorkerAreNotAcknowledgedEarly(t *testing.T) {
 	r := newStartRig(t)
-	r.sendTasks(r.now, 1)
-	r.answerStart(key(1), Done)
-	r.actions()
+	r.startTask(1)
 	r.now += time.Millisecond
 	r.answerStartHold(firstStartMs, HoldAnswer{ClockMs: r.clockMs(), Ended: []Ended{{Number: 57, Key: key(1)}}})
 	holds := groupActions(r.actions()).holds
@@ -200,9 +198,7 @@
 // terminates arrives late.
 func TestLateTerminationOfEarlierStartIsVerified(t *testing.T) {
 	r := newStartRig(t)
-	r.sendTasks(r.now, 1)
-	r.answerStart(key(1), Done)
-	r.actions()
+	r.startTask(1)
 	r.m.HandleTermination(r.now, testWorker)
 	got := groupActions(r.actions())
 	r.Check(got.stops, qt.HasLen, 0)
@@ -239,9 +235,7 @@
 // restarted, and would keep them for as long as it allows.
 func TestNoStartsAfterLostConnectionUntilWorkerAnswers(t *testing.T) {
 	r := newStartRig(t)
-	r.sendTasks(r.now, 1)
-	r.answerStart(key(1), Done)
-	r.actions()
+	r.startTask(1)
 	r.m.HandleHoldAnswer(r.now, startedAt(firstStartMs), &HoldAnswer{Verdict: NoAnswer, IsConnLost: true})
 	r.actions()
 	r.sendTasks(r.now, 2)
--- a/internal/runs/slowness.go
+++ b/internal/runs/slowness.go
@@ -44,14 +44,14 @@
 // value returns the relative run time; 1 before the first run.
 func (e *slownessEstimate) value() float64 { return math.Exp(e.logSum / (e.weight + slownessPrior)) }
 
-// recordSlowness records the relative run time of a run that has taken runTime, and
-// announces the worker's slowness if it has changed.
+// recordSlowness records the relative run time of a run with an expected time that has taken runTime,
+// and announces the worker's slowness if it has changed.
 func (m *Machine) recordSlowness(now time.Duration, r *run, runTime time.Duration) {
-	if r.expectedTime <= 0 || m.disabled.Has(policy.WorkerSpeeds) {
+	if m.disabled.Has(policy.WorkerSpeeds) {
 		return
 	}
 	m.slowness.observe(r.key.Job, float64(runTime)/float64(r.expectedTime))
-	ratio := m.slowness.value() / m.announcedSlowness()
+	ratio := m.slowness.value() / m.worker.Slowness()
 	if max(ratio, 1/ratio) < announcedSlownessRatio {
 		return
 	}
@@ -59,10 +59,8 @@
 	m.announceWorker(now)
 }
 
-// announcedSlowness returns the announced relative run time.
-func (m *Machine) announcedSlowness() float64 {
-	if m.worker.SlownessPercent == 0 {
-		return 1
-	}
-	return float64(m.worker.SlownessPercent) / 100
+// expectedTimeHere returns the expected run time on this worker. A worker that is faster than
+// expected is not sick once it takes the expected time.
+func (m *Machine) expectedTimeHere(r *run) time.Duration {
+	return time.Duration(max(1, m.worker.Slowness()) * float64(r.expectedTime))
 }
--- a/internal/runs/tick.go
+++ b/internal/runs/tick.go
@@ -54,7 +54,7 @@
 			r.outlastsInstance = false
 			continue
 		}
-		end := lostRunEnd
+		end := endLost()
 		switch r.state {
 		case stopping:
 			end = r.endAfterStop
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"wigeontray/internal/errkind"
 	"wigeontray/internal/wire"
 )
 
@@ -119,7 +118,7 @@
 	m.worker.Leaving, m.worker.Usable = true, false
 	m.announceWorker(now)
 	for _, r := range m.sortedRuns() {
-		m.stopRun(now, r, wire.RunEnd{Kind: errkind.WorkerLost, Ran: errkind.RanYes})
+		m.stopRun(now, r, endLost())
 	}
 	m.endTerminatedInstance(now)
 }
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -64,8 +64,7 @@
 	Label   string // label that the worker must have; empty for none
 	Rack    string // rack that holds the task's data; empty for none
 	Domain  string // failure domain of the entry
-	// MaxSlowness is the slowness of a worker up to which the task is expected to end in time; 0 if
-	// its end does not matter.
+	// MaxSlowness is the slowness of a worker up to which the task is expected to end in time.
 	MaxSlowness float64
 	// IsExcluded reports whether the task must not be placed on the worker with
 	// the given index; nil if no worker is excluded.
@@ -146,7 +145,7 @@
 
 func (w *WorkerView) rank(req *TaskRequest) workerRank {
 	rank := workerRank{isNearData: req.Rack != "" && w.Rack == req.Rack, isOwnDomain: w.Domain == req.Domain}
-	if slowness := cmp.Or(w.Slowness, 1); req.MaxSlowness > 0 && slowness > req.MaxSlowness {
+	if slowness := cmp.Or(w.Slowness, 1); slowness > req.MaxSlowness {
 		rank.slowness = slowness
 	}
 	return rank
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -16,8 +16,6 @@
 	qt.Assert(t, got, qt.DeepEquals, f)
 }
 
-// During an upgrade a newer process sends fields that this version does not define. If they
-// made decoding fail, every upgrade would close the links of the whole fleet.
 // Guards against the ID and the start time of a worker being encoded as a nested field, which
 // earlier versions do not read.
 func TestWorkerInstanceIsEncodedInline(t *testing.T) {
@@ -38,6 +36,8 @@
 	qt.Check(t, earlier.Service, qt.Equals, "s")
 }
 
+// During an upgrade a newer process sends fields that this version does not define. If they
+// made decoding fail, every upgrade would close the links of the whole fleet.
 func TestUnknownFieldsAreIgnored(t *testing.T) {
 	b, err := cbor.Marshal(map[int]any{6: map[int]any{1: 9, 2: 4, 99: "new"}, 77: []int{1}})
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -70,6 +70,14 @@
 	SlownessPercent int `cbor:"12,keyasint,omitempty"`
 }
 
+// Slowness returns how long runs take on the worker relative to the time expected of them.
+func (w *RunWorker) Slowness() float64 {
+	if w.SlownessPercent == 0 {
+		return 1
+	}
+	return float64(w.SlownessPercent) / 100
+}
+
 // RunLoad is the state of a guard at one moment, as reported to one entry.
 type RunLoad struct {
 	ClockMs int64           `cbor:"1,keyasint"`           // the guard's clock, which includes time in suspension
