--- a/internal/runs/slowness_test.go
+++ b/internal/runs/slowness_test.go
@@ -28,7 +28,7 @@
 	return announcements
 }
 
-// Guards against long tasks that are placed on a slow worker because nothing tells the entries that it
+// Guards against long tasks that are placed on a slow worker because the entries do not know that it
 // is slow: a worker of half the speed is not sick, and is never quarantined.
 func TestSlownessOfWorkerIsAnnounced(t *testing.T) {
 	r := newRig(t)
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -36,7 +36,7 @@
 }
 
 // WorkerInstance identifies one start of a worker. A worker that restarts under the same ID has
-// another start time, and has kept nothing of the earlier instance: neither runs nor clock, fencing
+// another start time, and retains nothing of the earlier instance: neither runs nor clock, fencing
 // token or numbers.
 type WorkerInstance struct {
 	ID string `cbor:"1,keyasint,omitempty"` // empty if there is no worker
