store: tests of the embedded store use the bubble's clock, not the machine's

Cause: the test's client has a timeout of a second on the machine's clock, and encoding, sending and decoding a megabyte of JSON under the race detector takes that much processor time when other tests share the core. The product answered as it should; the test's clock was wrong.

Change: the three tests that used the embedded store outside of a bubble run in one; time then passes only while all of its goroutines wait. Checks and the timeout are the same.

--- a/internal/store/etcd_test.go
+++ b/internal/store/etcd_test.go
@@ -21,7 +21,8 @@
 )
 
 // newEmbedded returns a client of an in-process stand-in server, and the
-// server.
+// server. Tests call it in a synctest bubble: on a busy machine a call can take
+// longer than the client's timeout.
 func newEmbedded(t *testing.T) (*store.Etcd, *standin.Server) {
 	server := standin.New()
 	t.Cleanup(server.Close)
@@ -31,29 +32,31 @@
 }
 
 func TestCompareAndSwap(t *testing.T) {
-	c, ctx := qt.New(t), t.Context()
-	e, _ := newEmbedded(t)
-	first, err := e.Put(ctx, "/a/1", []byte("x\x00\xff"), 0, 0)
-	c.Assert(err, qt.IsNil)
-	second, err := e.Put(ctx, "/a/2", []byte("y"), 0, 0)
-	c.Assert(err, qt.IsNil)
-	kvs, revision, err := e.Range(ctx, "/a/")
-	c.Assert(err, qt.IsNil)
-	c.Assert(revision, qt.Equals, second)
-	c.Assert(kvs, qt.DeepEquals, []store.KV{
-		{Key: "/a/1", Value: []byte("x\x00\xff"), ModRevision: first}, {Key: "/a/2", Value: []byte("y"), ModRevision: second},
+	synctest.Test(t, func(t *testing.T) {
+		c, ctx := qt.New(t), t.Context()
+		e, _ := newEmbedded(t)
+		first, err := e.Put(ctx, "/a/1", []byte("x\x00\xff"), 0, 0)
+		c.Assert(err, qt.IsNil)
+		second, err := e.Put(ctx, "/a/2", []byte("y"), 0, 0)
+		c.Assert(err, qt.IsNil)
+		kvs, revision, err := e.Range(ctx, "/a/")
+		c.Assert(err, qt.IsNil)
+		c.Assert(revision, qt.Equals, second)
+		c.Assert(kvs, qt.DeepEquals, []store.KV{
+			{Key: "/a/1", Value: []byte("x\x00\xff"), ModRevision: first}, {Key: "/a/2", Value: []byte("y"), ModRevision: second},
+		})
+		_, err = e.Put(ctx, "/a/1", []byte("z"), 0, 0)
+		c.Assert(err, qt.ErrorIs, store.ErrConflict)
+		conflict, _ := errors.AsType[*store.ConflictError](err)
+		c.Assert(conflict.Current.ModRevision, qt.Equals, first)
+		_, err = e.Delete(ctx, "/a/1", first)
+		c.Assert(err, qt.IsNil)
+		_, err = e.Delete(ctx, "/a/1", first)
+		c.Assert(err, qt.ErrorIs, store.ErrConflict)
+		latest, err := e.PrefixState(ctx, "/a/")
+		c.Assert(err, qt.IsNil)
+		c.Assert(latest, qt.Equals, store.PrefixState{ModRevision: second, Count: 1, Revision: second + 1})
 	})
-	_, err = e.Put(ctx, "/a/1", []byte("z"), 0, 0)
-	c.Assert(err, qt.ErrorIs, store.ErrConflict)
-	conflict, _ := errors.AsType[*store.ConflictError](err)
-	c.Assert(conflict.Current.ModRevision, qt.Equals, first)
-	_, err = e.Delete(ctx, "/a/1", first)
-	c.Assert(err, qt.IsNil)
-	_, err = e.Delete(ctx, "/a/1", first)
-	c.Assert(err, qt.ErrorIs, store.ErrConflict)
-	latest, err := e.PrefixState(ctx, "/a/")
-	c.Assert(err, qt.IsNil)
-	c.Assert(latest, qt.Equals, store.PrefixState{ModRevision: second, Count: 1, Revision: second + 1})
 }
 
 func TestWatchDeliversPastAndNewEvents(t *testing.T) {
@@ -135,14 +138,16 @@
 // A write takes effect and the connection breaks before the response arrives.
 // The client must report the outcome as unknown and not as "not written".
 func TestLostResponseIsUnavailable(t *testing.T) {
-	c := qt.New(t)
-	e, server := newEmbedded(t)
-	server.DropResponses(1)
-	_, err := e.Put(t.Context(), "/a", []byte("x"), 0, 0)
-	c.Assert(err, qt.ErrorIs, store.ErrUnavailable)
-	kvs, _, err := e.Range(t.Context(), "/a")
-	c.Assert(err, qt.IsNil)
-	c.Assert(kvs, qt.HasLen, 1)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e, server := newEmbedded(t)
+		server.DropResponses(1)
+		_, err := e.Put(t.Context(), "/a", []byte("x"), 0, 0)
+		c.Assert(err, qt.ErrorIs, store.ErrUnavailable)
+		kvs, _, err := e.Range(t.Context(), "/a")
+		c.Assert(err, qt.IsNil)
+		c.Assert(kvs, qt.HasLen, 1)
+	})
 }
 
 // cutAfterFirst returns a handler that answers the first request. It reads
@@ -226,9 +231,11 @@
 // A value exceeds the store's size limit. The store rejects it, so the error
 // must not report the outcome as unknown.
 func TestTooLargeValueIsRefused(t *testing.T) {
-	e, _ := newEmbedded(t)
-	_, err := e.Put(t.Context(), "/a", make([]byte, 1<<20+1), 0, 0)
-	qt.Assert(t, err, qt.ErrorIs, store.ErrRefused)
+	synctest.Test(t, func(t *testing.T) {
+		e, _ := newEmbedded(t)
+		_, err := e.Put(t.Context(), "/a", make([]byte, 1<<20+1), 0, 0)
+		qt.Assert(t, err, qt.ErrorIs, store.ErrRefused)
+	})
 }
 
 // Something between client and store responds in its place: a login page, a
