wire: idle links keep no receive buffer

Cause: a link took a receive buffer from the pool before it waited for a frame, so that every idle link kept one, as large as the longest frame that it had held before. A guard with a link to every entry keeps one for each of them, and each may grow to the size of a piece of the configuration.

Evidence: TestIdleLinksKeepNoReceiveBuffer: 64 links that have received one frame of 60 kB each kept 66,313 bytes a link before; under 7,680 now (the test's bound).

Change: the buffer is taken when a frame begins to arrive.

--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -106,9 +107,7 @@
 }
 
 func (l *socketLink) Recv(ctx context.Context) (*Frame, error) {
-	buf := readBuffers.Get().(*bytes.Buffer)
-	defer releaseBuffer(buf)
-	kind, err := l.read(ctx, buf)
+	kind, r, err := l.conn.Reader(ctx)
 	if err != nil {
 		l.Close("read failed")
 		return nil, fmt.Errorf("read link: %w", err)
@@ -117,6 +116,18 @@
 		l.Close("text frame")
 		return nil, errors.New("read link: text frame")
 	}
+	return l.receiveFrame(r)
+}
+
+// receiveFrame reads and decodes one frame. It takes its buffer only now that a frame has begun to
+// arrive: an idle link would keep a buffer as large as the longest frame before it.
+func (l *socketLink) receiveFrame(r io.Reader) (*Frame, error) {
+	buf := readBuffers.Get().(*bytes.Buffer)
+	defer releaseBuffer(buf)
+	if _, err := buf.ReadFrom(r); err != nil {
+		l.Close("read failed")
+		return nil, fmt.Errorf("read link: %w", err)
+	}
 	l.peerLiveness.recordReceive()
 	l.traffic.FramesIn.Add(1)
 	l.traffic.BytesIn.Add(int64(buf.Len()))
@@ -128,14 +139,6 @@
 	return f, nil
 }
 
-func (l *socketLink) read(ctx context.Context, dst *bytes.Buffer) (websocket.MessageType, error) {
-	kind, r, err := l.conn.Reader(ctx)
-	if err == nil {
-		_, err = dst.ReadFrom(r)
-	}
-	return kind, err
-}
-
 // readBuffers holds receive buffers. A buffer can be reused once its frame is decoded,
 // since decoding copies.
 var readBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
--- a/internal/wire/link_test.go
+++ b/internal/wire/link_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -225,3 +227,42 @@
 		qt.Assert(t, p.writes.Load()-before, qt.Equals, int64(2*rounds))
 	})
 }
+
+// Guards against idle links that each keep a receive buffer as large as the longest frame that any of
+// them has received. A guard has a link to every entry, and each of them may send it a configuration.
+func TestIdleLinksKeepNoReceiveBuffer(t *testing.T) {
+	const links, frameBytes = 64, 60 << 10
+	received := make(chan struct{}, links)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l, err := Accept(w, r, nil)
+		for err == nil {
+			if _, err = l.Recv(context.Background()); err == nil {
+				received <- struct{}{}
+			}
+		}
+	}))
+	defer server.Close()
+	dialed := make([]Link, links)
+	for i := range dialed {
+		l, err := Dial(t.Context(), "ws"+server.URL[len("http"):], http.DefaultClient, nil)
+		qt.Assert(t, err, qt.IsNil)
+		defer l.Close("test ends")
+		dialed[i] = l
+	}
+	before := liveHeapBytes()
+	for _, l := range dialed { // one after the other, so that a free buffer would be reused
+		qt.Assert(t, l.Send(&Frame{Start: &Start{Body: make([]byte, frameBytes)}}), qt.IsNil)
+		<-received
+	}
+	perLink := (int64(liveHeapBytes()) - int64(before)) / links
+	qt.Check(t, perLink < frameBytes/8, qt.IsTrue, qt.Commentf("%d bytes a link", perLink))
+}
+
+// liveHeapBytes returns the size of the live heap. The first collection empties the pools only in part.
+func liveHeapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
