batchnode: a guard links to 64 entries, whatever the size of the fleet

At twice the size it would be 589,000 links, 1,608 handshakes for an entry that restarts.

Cause: links of an entry grow with the guards, those of a guard with the entries.

Change: a guard links to the 64 entries that rank first for it by rendezvous hashing over all addresses that it knows. It learns these as before, from its three announcers, which are the first of the same ranks. Links to entries that are no longer among them are retired: the entry is told that the worker is not usable, and the link closes when the last run has ended. An entry divides the room that it sees by the entries that share one worker, 64 at most. What one guard did for all entries is now done by several: - a query for a job goes to guards that link to all other entries together, each of which asks those that it is told to; entries say who they are in their reports, so that "certain" still means that each has answered; - a crash of a worker, which counts against the tasks there at every entry, is passed on to the entries to which the guard has no link, and counted once there. Of a service with few guards some entries would have none: entries that see fewer than 64 guards of a service tell those of which they are an announcer to link to all. Up to 64 entries nothing changes: every guard links to all, one guard relays a query.

Ruled out: a subset without the help of several guards for queries (a job at an entry without a common guard would be reported as unknown, or run twice after a hold-up); cells of entries and guards (an entry would reach no other cell).

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -174,7 +174,7 @@
 	if workAhead == 0 && hasRoom || capacity == 0 {
 		return 0
 	}
-	return time.Duration((workAhead + ownWork/2) * float64(m.entryCount) / float64(capacity))
+	return time.Duration((workAhead + ownWork/2) * float64(m.sharingEntries(spec.Queue.Service)) / float64(capacity))
 }
 
 // waitingWork returns the expected work of a job's waiting tasks, in thousandths of a core times
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -40,7 +40,10 @@
 	options    Options
 	rng        *rand.Rand
 	startedAt  time.Duration
-	entryCount int // entries that share the workers
+	entryCount int // entries that share one worker
+	// sharedByAll holds the services whose workers are shared by allEntries.
+	sharedByAll map[string]bool
+	allEntries  int
 
 	guards    []*guard           // by position, nil where free; parallel to workers
 	workers   []sched.WorkerView // placement data of the guards' workers
@@ -73,6 +76,7 @@
 		rng:               rand.New(rand.NewPCG(options.Seed, 0)),
 		startedAt:         now,
 		entryCount:        1,
+		allEntries:        1,
 		guardByID:         make(map[identity.Incarnation]*guard),
 		jobs:              make(map[string]*job),
 		activeRuns:        make(map[runs.Key]*activeRun),
@@ -95,8 +99,40 @@
 // machine's actions.
 func (m *Machine) RecordExternalFrame(now time.Duration, f *wire.Frame) { m.uplink.recordSend(now, f) }
 
-// SetEntries sets the number of entries that share the workers.
-func (m *Machine) SetEntries(n int) { m.entryCount = max(1, n) }
+// SetEntries sets the number of all entries, and of those that share one worker.
+func (m *Machine) SetEntries(all, sharing int) {
+	m.allEntries, m.entryCount = max(1, all), max(1, sharing)
+}
+
+// SetSharedByAll sets the services whose workers are shared by all entries.
+func (m *Machine) SetSharedByAll(services map[string]bool) { m.sharedByAll = services }
+
+// sharingEntries returns the number of entries that share one worker of a service.
+func (m *Machine) sharingEntries(service string) int {
+	if m.sharedByAll[service] {
+		return m.allEntries
+	}
+	return m.entryCount
+}
+
+// ServiceOf returns the service of a guard's worker; empty if it has none.
+func (m *Machine) ServiceOf(guard identity.Incarnation) string {
+	if g := m.guardByID[guard]; g != nil {
+		return g.worker.Service
+	}
+	return ""
+}
+
+// GuardsByService returns the number of guards by the service of their workers.
+func (m *Machine) GuardsByService() map[string]int {
+	n := make(map[string]int)
+	for _, g := range m.guardByID {
+		if g.worker.Service != "" {
+			n[g.worker.Service]++
+		}
+	}
+	return n
+}
 
 // Jobs returns the number of unanswered jobs in all queues, and the number of those in the given
 // queue of which no task has been sent.
@@ -115,7 +151,7 @@
 	Running     int           // runs that were sent and have not ended
 	Workers     int           // usable workers
 	Free        int64         // estimate of the free CPU of usable workers, in thousandths of a core
-	Entries     int           // entries that share the workers
+	Entries     int           // entries that share one worker
 	LinkRate    int64         // see Machine.LinkRate
 	LinkBacklog time.Duration // time that the sent frames still need to pass the link
 }
--- a/internal/batchnode/announce.go
+++ b/internal/batchnode/announce.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"wigeontray/internal/identity"
-	"wigeontray/internal/rendezvous"
 	"wigeontray/internal/wire"
 )
 
@@ -18,45 +17,6 @@
 // them is no longer listed.
 const announcersPerGuard = 3
 
-// addressList is a sorted list of addresses of entries, with their hashes. A change of the list
-// ranks every address for every guard, so that a rank must cost no more than some arithmetic.
-type addressList struct {
-	addresses []string
-	hashes    []uint64
-}
-
-func newAddressList(sorted []string) addressList {
-	l := addressList{addresses: sorted, hashes: make([]uint64, len(sorted))}
-	for i, a := range sorted {
-		l.hashes[i] = rendezvous.MemberHash(a)
-	}
-	return l
-}
-
-// announcersFor returns the addresses of a guard's announcers.
-func (l *addressList) announcersFor(guard identity.Incarnation) []string {
-	guardHash := rendezvous.KeyHash(string(guard))
-	var first [announcersPerGuard]int // positions, the greatest weight first
-	var weights [announcersPerGuard]uint64
-	n := min(announcersPerGuard, len(l.hashes))
-	for position, h := range l.hashes {
-		weight := rendezvous.Weight(guardHash, h)
-		for rank := range n {
-			if weight > weights[rank] || weights[rank] == 0 {
-				copy(first[rank+1:n], first[rank:])
-				copy(weights[rank+1:n], weights[rank:])
-				first[rank], weights[rank] = position, max(weight, 1)
-				break
-			}
-		}
-	}
-	addresses := make([]string, n)
-	for rank := range n {
-		addresses[rank] = l.addresses[first[rank]]
-	}
-	return addresses
-}
-
 // SetEntries stores the addresses of all entries, to which it adds its own, and sends the guards
 // those that they have to know in addition. Duplicate addresses are removed: a restarted entry is
 // listed twice until its earlier registration expires.
@@ -74,11 +34,11 @@
 	previous := e.known
 	e.known = newAddressList(addresses)
 	e.opt.Log.Info("entries changed", "entries", len(addresses))
-	e.machine.SetEntries(len(addresses))
+	e.machine.SetEntries(len(addresses), min(len(addresses), entriesPerGuard))
 	added := withoutKnown(addresses, previous.addresses)
 	for id := range e.links {
 		if news := e.newAddressesFor(id, &previous, added); len(news) > 0 {
-			e.sendToGuard(id, &wire.Frame{Entries: &wire.Entries{Addresses: news}})
+			e.sendToGuard(id, &wire.Frame{Entries: &wire.Entries{Addresses: news, LinkAll: e.linksToAll(id)}})
 		}
 	}
 }
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -38,6 +38,8 @@
 type Entry struct {
 	opt EntryOptions
 	id  identity.Incarnation
+	// startedAt is when the entry was created.
+	startedAt time.Duration
 
 	mu             sync.Mutex
 	machine        *batch.Machine
@@ -45,6 +47,8 @@
 	waiters        map[string][]*waiter
 	acceptSlots    chan struct{} // one element for each link that is being accepted
 	known          addressList   // addresses of all entries, this one included
+	small          smallServices
+	relayedCrashes []relayedCrash // latest, oldest first
 	queries        queries
 	outgoingCopies outgoingCopies
 	deadlineTimer  *deadlineTimer
@@ -75,6 +79,7 @@
 	e := &Entry{
 		opt:            opt,
 		id:             identity.NewIncarnation(opt.Name),
+		startedAt:      opt.Clock(),
 		machine:        batch.New(opt.Clock(), batch.Options{Domain: opt.Domain, Seed: opt.Seed, Timing: opt.Timing, Disabled: policy.Linked()}),
 		links:          make(map[identity.Incarnation]wire.Link),
 		waiters:        make(map[string][]*waiter),
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -93,7 +93,7 @@
 	e.opt.Log.Info("guard linked", "guard", hello.Incarnation, "worker", hello.Worker.WorkerInstance, "usable", hello.Worker.Usable)
 	e.sendToGuard(hello.Incarnation, &wire.Frame{RunWelcome: &wire.RunWelcome{
 		Version: wire.Version, Incarnation: e.id, Revision: e.configVersion,
-		Entries: e.addressesFor(hello.Incarnation), Software: telemetry.Version,
+		Entries: e.addressesFor(hello.Incarnation), LinkAll: e.small.linkAll[hello.Worker.Service], Software: telemetry.Version,
 	}})
 	drains := e.drains.known
 	e.sendToGuard(hello.Incarnation, &wire.Frame{Drains: &drains}) // must precede the first task
@@ -142,6 +142,8 @@
 		e.stepLocked(func(now time.Duration, m *batch.Machine) { m.HandleBeat(now, hello.Incarnation, f.GuardHeartbeat) })
 	case f.WorkerCrash != nil:
 		e.machine.HandleWorkerCrash(f.WorkerCrash)
+	case f.CrashRelay != nil:
+		e.handleCrashRelay(hello.Incarnation, f.CrashRelay)
 	case f.JobQuery != nil:
 		e.answerQuery(hello.Incarnation, f.JobQuery)
 	case f.JobReport != nil:
--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -67,8 +67,9 @@
 	mu                  sync.Mutex
 	machine             *runs.Machine
 	links               map[identity.Incarnation]*guardLink
-	dialing             map[string]bool
-	dialSlots           chan struct{} // one element for each dial in progress
+	known               addressList        // addresses of entries, of which the guard links to a subset
+	targets             map[string]*target // by address: the entries that the guard links to
+	dialSlots           chan struct{}      // one element for each dial in progress
 	deadlineTimer       *deadlineTimer
 	configVersion       int64 // newest configuration received; 0 before the first
 	configDocument      []byte
@@ -80,6 +81,7 @@
 	hasReport           bool                     // the worker has sent a report to this process
 	unsavedReport       chan *runs.Report        // holds at most one
 	lastQueuedReport    *runs.Report             // last report that was saved or is in unsavedReport
+	crashSeq            uint64                   // crashes of the worker that were relayed
 	lastRejected        wire.WorkerInstance      // of the last report that was passed over
 	isDrainComplete     bool                     // the worker is drained and its last run has ended
 	goroutines          sync.WaitGroup
@@ -95,7 +97,7 @@
 		id:            identity.NewIncarnation(opt.Name),
 		machine:       runs.New(runs.Options{Timing: opt.Timing, MaxLease: opt.MaxLease, Disabled: policy.Linked()}),
 		links:         make(map[identity.Incarnation]*guardLink),
-		dialing:       make(map[string]bool),
+		targets:       make(map[string]*target),
 		dialSlots:     make(chan struct{}, maxConcurrentDials),
 		changed:       make(chan struct{}, 1),
 		unsavedReport: make(chan *runs.Report, 1),
@@ -153,6 +155,8 @@
 	switch {
 	case action.RejectedReport != nil:
 		g.noteRejectedReport(action.RejectedReport)
+	case action.CrashReport != nil:
+		g.relayOwnCrash(action.CrashReport)
 	case action.Fetch != nil:
 		go g.fetchText(action.Fetch)
 	case action.Start != nil:
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -50,42 +48,23 @@
 	// partition. If the entry is alive, the guard receives its address again from the store or
 	// from another entry.
 	dialGiveUpTimeout = time.Minute
-	// lookupInterval is the delay between two lookups of entries in the store by a guard
-	// without a link; firstLookupInterval is the delay after the first lookup.
-	lookupInterval      = 2 * time.Second
-	firstLookupInterval = 200 * time.Millisecond
 )
 
 // guardLink is a link to one entry.
 type guardLink struct {
 	link           wire.Link
+	address        string
 	entry          identity.Incarnation
 	configVersion  int64 // of the entry's configuration
 	requestsConfig bool  // the entry requests a newer configuration when its version is announced
 	copy           incomingCopy
 	drains         wire.Drains // last ones received from the entry or sent to it
-}
-
-// AddEntries starts to maintain links to the addresses that are not dialed yet. It has no effect
-// before Run and after its context has ended.
-func (g *Guard) AddEntries(addresses []string) {
-	addresses = slices.Clone(addresses)
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, a := range addresses {
-		if g.ctx == nil || g.ctx.Err() != nil || g.dialing[a] {
-			continue
-		}
-		g.dialing[a] = true
-		g.goroutines.Go(func() { g.maintainLink(g.ctx, a) })
-	}
+	linkAll        bool        // the entry asks for links to all entries
 }
 
 // maintainLink keeps a link to one address open until ctx ends, or until the address could not
-// be reached for dialGiveUpTimeout.
+// be reached for dialGiveUpTimeout; the guard then forgets it.
 func (g *Guard) maintainLink(ctx context.Context, address string) {
-	defer g.stopDialing(address)
 	backoff, handshakeTimeout, lastLinkedAt := minRedialDelay, minHandshakeTimeout, time.Now()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		l, timedOut, err := g.connectInTurn(ctx, address, connectTimeoutFor(attempt), handshakeTimeout)
@@ -99,7 +78,7 @@
 			backoff, lastLinkedAt, attempt = minRedialDelay, time.Now(), 0
 		} else if time.Since(lastLinkedAt) > dialGiveUpTimeout {
 			g.opt.Log.Info("stopped dialing entry", "address", address, "err", err)
-			g.goroutines.Go(func() { g.rediscoverEntries(ctx) })
+			g.forgetEntry(address)
 			return
 		}
 		pause.For(ctx, pause.Jitter(backoff))
@@ -124,25 +103,6 @@
 	return maxRedialDelay
 }
 
-// rediscoverEntries looks up entries in the store after the guard stopped dialing one. That
-// entry may only have been partitioned from this guard, and other entries announce an address
-// only once.
-func (g *Guard) rediscoverEntries(ctx context.Context) {
-	pause.For(ctx, pause.Jitter(lookupInterval))
-	found, err := g.opt.Lookup(ctx)
-	if err != nil {
-		g.opt.Log.Warn("entry lookup in the store failed", "err", err)
-	}
-	g.AddEntries(found)
-}
-
-// stopDialing allows AddEntries to dial the address again.
-func (g *Guard) stopDialing(address string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.dialing, address)
-}
-
 // connectInTurn connects to an entry once a dial slot is free. It occupies the slot for at most
 // dialSlotTimeout, so that unresponsive entries do not keep the guard from the others. timedOut
 // reports whether the entry has accepted the connection and not completed the handshake in time.
@@ -168,7 +128,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial entry %s: %w", address, err)
 	}
-	l, err := g.handshake(ctx, link)
+	l, err := g.handshake(ctx, address, link)
 	if err != nil {
 		link.Close("no welcome")
 		return nil, fmt.Errorf("entry %s: %w", address, err)
@@ -178,7 +138,7 @@
 
 // handshake exchanges hello and welcome, and registers the link. The hello is sent under the
 // lock, so that all frames that the machine sends later contain newer state.
-func (g *Guard) handshake(ctx context.Context, link wire.Link) (*guardLink, error) {
+func (g *Guard) handshake(ctx context.Context, address string, link wire.Link) (*guardLink, error) {
 	g.mu.Lock()
 	hello := &wire.RunHello{
 		Version: wire.Version, MinVersion: wire.MinVersion, Incarnation: g.id,
@@ -197,7 +157,10 @@
 	if f.RunWelcome == nil || f.RunWelcome.Incarnation == "" {
 		return nil, errors.New("first frame is not a welcome")
 	}
-	l := &guardLink{link: link, entry: f.RunWelcome.Incarnation, configVersion: f.RunWelcome.Revision, requestsConfig: f.RunWelcome.Version >= wire.ConfigRequestVersion}
+	l := &guardLink{
+		link: link, address: address, entry: f.RunWelcome.Incarnation, configVersion: f.RunWelcome.Revision,
+		requestsConfig: f.RunWelcome.Version >= wire.ConfigRequestVersion, linkAll: f.RunWelcome.LinkAll,
+	}
 	g.addLink(l)
 	g.AddEntries(f.RunWelcome.Entries)
 	return l, nil
@@ -218,6 +181,7 @@
 		m.LinkUp(now, l.entry)
 		w := m.Worker()
 		_ = l.link.Send(&wire.Frame{GuardHeartbeat: &wire.GuardHeartbeat{Load: m.Load(now, l.entry), Worker: &w}}) // see execute
+		m.SetRetiring(now, l.entry, g.isRetiring(l.address))
 	})
 	g.syncConfig(l)
 }
@@ -244,16 +208,15 @@
 }
 
 func (g *Guard) handleFrame(l *guardLink, f *wire.Frame) {
-	if f.Entries != nil {
-		g.AddEntries(f.Entries.Addresses)
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.links[l.entry] != l {
 		return // a newer link has replaced this one
 	}
 	switch {
+	case f.Entries != nil:
+		l.linkAll = f.Entries.LinkAll
+		g.addEntriesLocked(f.Entries.Addresses)
 	case f.RunTasks != nil:
 		g.opt.RoutineLog.Info("tasks taken", "job", f.RunTasks.Job, "request", f.RunTasks.Request, "entry", l.entry, "tasks", len(f.RunTasks.Tasks),
 			"age", g.opt.Clock()-time.Duration(f.RunTasks.ClockMs)*time.Millisecond, "left", time.Duration(f.RunTasks.LeftMs)*time.Millisecond)
@@ -273,30 +236,13 @@
 		g.relayQuery(l, f.JobQuery)
 	case f.JobReport != nil:
 		g.relayReport(f.JobReport)
+	case f.CrashRelay != nil:
+		g.relayCrash(f.CrashRelay)
 	default:
 		g.opt.Metrics.Inc(telemetry.FramesUnknown)
 	}
 }
 
-// discoverEntries looks up entries in the store while there is no link, until ctx ends. The
-// first lookup is immediate: the configured entries are a few of many, and after a power loss
-// of all VMs they may be the last to restart. Until then the worker would be idle, while the
-// entries that have restarted have no worker.
-func (g *Guard) discoverEntries(ctx context.Context) {
-	interval := firstLookupInterval
-	for ctx.Err() == nil {
-		if g.linkCount() == 0 {
-			found, err := g.opt.Lookup(ctx)
-			if err != nil {
-				g.opt.Log.Warn("entry lookup in the store failed", "err", err)
-			}
-			g.AddEntries(found)
-		}
-		pause.For(ctx, pause.Jitter(interval))
-		interval = lookupInterval
-	}
-}
-
 func (g *Guard) linkCount() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/batchnode/query.go
+++ b/internal/batchnode/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"wigeontray/internal/batch"
@@ -10,8 +11,8 @@
 )
 
 // Entries have no links to each other. A caller may send a query or a cancellation for its job
-// to any of them; an entry that does not run the job asks the others through a guard, which
-// relays the query and the reports.
+// to any of them; an entry that does not run the job asks the others through guards, which
+// relay the query and the reports.
 
 // Timing of queries.
 const (
@@ -19,7 +20,8 @@
 	// round trips take 2 to 10 ms within a region and 50 ms between two regions; a frozen
 	// entry or guard does not answer at all.
 	queryTimeout = 200 * time.Millisecond
-	// maxQueryAttempts is how many guards are tried one after the other, as one may be frozen.
+	// maxQueryAttempts is how often a query is sent, each time through other guards, as one may be
+	// frozen.
 	maxQueryAttempts = 2
 	// heldUpQueryTimeout is the maximum delay that the query adds to a job whose request may
 	// have been delayed by a network partition.
@@ -34,17 +36,22 @@
 
 // query is one query to all other entries.
 type query struct {
-	expectedReports int // reports needed for a certain result: one from each other entry
-	relayedTo       int // entries to which the guard relayed the query; -1 until it reports that
-	receivedReports int
-	state           batch.State   // Unknown until an entry reports the job
-	done            chan struct{} // closed when all reports have arrived
+	awaited           map[string]bool // addresses of the entries that have not reported
+	unnamedReports    int             // reports of entries of an earlier release, which do not state their address
+	unconfirmedRelays int             // guards that have not reported to how many entries they have relayed the query
+	relayedTo         int             // entries to which the other guards have relayed it
+	receivedReports   int
+	state             batch.State   // Unknown until an entry reports the job
+	done              chan struct{} // closed when all reports have arrived
 }
 
-// begin adds a query and returns it with its sequence number.
-func (q *queries) begin(expectedReports int) (uint64, *query) {
+// begin adds a query to the entries with the given addresses and returns it with its sequence number.
+func (q *queries) begin(others []string) (uint64, *query) {
 	q.lastSeq++
-	added := &query{expectedReports: expectedReports, relayedTo: -1, done: make(chan struct{})}
+	added := &query{awaited: make(map[string]bool, len(others)), done: make(chan struct{})}
+	for _, address := range others {
+		added.awaited[address] = true
+	}
 	q.pending[q.lastSeq] = added
 	return q.lastSeq, added
 }
@@ -52,28 +59,40 @@
 // handleReport handles the report of a guard (with QueriedEntries) or of an entry.
 func (q *queries) handleReport(r *wire.JobReport) {
 	pendingQuery := q.pending[r.Seq]
-	switch {
-	case pendingQuery == nil:
+	if pendingQuery == nil {
 		return // the query has timed out or is complete
-	case r.QueriedEntries != nil:
-		pendingQuery.relayedTo = *r.QueriedEntries
-	default:
-		pendingQuery.receivedReports++
-		if s := batch.State(r.State); s != batch.Unknown {
-			pendingQuery.state = s
-		}
 	}
-	if pendingQuery.receivedReports == pendingQuery.relayedTo {
+	pendingQuery.addReport(r)
+	if pendingQuery.hasAllReports() {
 		close(pendingQuery.done)
 		delete(q.pending, r.Seq)
 	}
 }
 
-// isCertain reports whether all other entries have answered.
-func (q *query) isCertain() bool {
-	return q.receivedReports >= q.expectedReports && q.receivedReports == q.relayedTo
+func (q *query) addReport(r *wire.JobReport) {
+	if r.QueriedEntries != nil {
+		q.unconfirmedRelays--
+		q.relayedTo += *r.QueriedEntries
+		return
+	}
+	q.receivedReports++
+	delete(q.awaited, r.Address)
+	if r.Address == "" {
+		q.unnamedReports++
+	}
+	if s := batch.State(r.State); s != batch.Unknown {
+		q.state = s
+	}
+}
+
+// hasAllReports reports whether every entry has reported to which a guard has relayed the query.
+func (q *query) hasAllReports() bool {
+	return q.unconfirmedRelays == 0 && q.receivedReports == q.relayedTo
 }
 
+// isCertain reports whether all other entries have answered.
+func (q *query) isCertain() bool { return len(q.awaited) <= q.unnamedReports && q.hasAllReports() }
+
 // Query returns the state of a job at this entry or at any other. If cancelJob is set, the job is
 // cancelled where it is queued or running. If the result is not certain, an entry that did not
 // answer may run the job.
@@ -115,14 +134,19 @@
 	return len(e.known.addresses) == 1
 }
 
-// queryOthers queries all other entries through a guard that is not in triedGuards, and adds it
+// queryOthers queries all other entries through guards that are not in triedGuards, and adds these
 // there.
 func (e *Entry) queryOthers(ctx context.Context, id string, cancelJob bool, triedGuards map[identity.Incarnation]bool) (batch.State, bool) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	e.mu.Lock()
-	seq, q := e.queries.begin(len(e.known.addresses) - 1)
-	e.sendQuery(&wire.JobQuery{Seq: seq, From: e.id, Job: id, Cancel: cancelJob}, triedGuards)
+	others := withoutKnown(e.known.addresses, []string{e.opt.Address})
+	seq, q := e.queries.begin(others)
+	for _, relay := range e.relaysTo(others, triedGuards) {
+		triedGuards[relay.guard] = true
+		q.unconfirmedRelays++
+		e.sendToGuard(relay.guard, &wire.Frame{JobQuery: &wire.JobQuery{Seq: seq, From: e.id, Job: id, Cancel: cancelJob, Targets: relay.targets}})
+	}
 	e.mu.Unlock()
 	select {
 	case <-q.done:
@@ -134,17 +158,6 @@
 	return q.state, q.isCertain()
 }
 
-// sendQuery sends a query to a guard that is not in triedGuards. mu must be held.
-func (e *Entry) sendQuery(q *wire.JobQuery, triedGuards map[identity.Incarnation]bool) {
-	for guard := range e.links {
-		if !triedGuards[guard] {
-			triedGuards[guard] = true
-			e.sendToGuard(guard, &wire.Frame{JobQuery: q})
-			return
-		}
-	}
-}
-
 // answerQuery answers the query of another entry through the guard that relayed it. mu must be
 // held.
 func (e *Entry) answerQuery(guard identity.Incarnation, q *wire.JobQuery) {
@@ -153,15 +166,16 @@
 		e.stepLocked(func(now time.Duration, m *batch.Machine) { m.Cancel(now, q.Job) })
 		s = batch.Cancelled
 	}
-	e.sendToGuard(guard, &wire.Frame{JobReport: &wire.JobReport{Seq: q.Seq, To: q.From, State: int(s)}})
+	e.sendToGuard(guard, &wire.Frame{JobReport: &wire.JobReport{Seq: q.Seq, To: q.From, State: int(s), Address: e.opt.Address}})
 }
 
-// relayQuery relays the query of an entry to all other entries, and reports their number to it.
-// mu must be held.
+// relayQuery relays the query of an entry to its targets, or to all other entries, and reports their
+// number to it. mu must be held.
 func (g *Guard) relayQuery(from *guardLink, q *wire.JobQuery) {
-	relayed := 0
+	relayed, targets := 0, q.Targets
+	q.Targets = nil
 	for name, l := range g.links {
-		if name != from.entry && l.link.Send(&wire.Frame{JobQuery: q}) == nil {
+		if name != from.entry && (len(targets) == 0 || slices.Contains(targets, l.address)) && l.link.Send(&wire.Frame{JobQuery: q}) == nil {
 			relayed++
 		}
 	}
--- a/internal/batchnode/stall.go
+++ b/internal/batchnode/stall.go
@@ -11,13 +11,16 @@
 // heartbeatInterval is the interval at which a process records its own heartbeat.
 const heartbeatInterval = 200 * time.Millisecond
 
-// RunHeartbeat records a heartbeat of this process at each heartbeatInterval until ctx ends, and
-// repeats the request for a newer configuration that did not arrive. A long gap since the last
+// RunHeartbeat records a heartbeat of this process at each heartbeatInterval until ctx ends, looks for
+// services with few guards, and repeats the request for a newer configuration that did not arrive. A long gap since the last
 // heartbeat means that the process was frozen, for whatever reason. Any goroutine may be the
 // first one to run afterwards, so every event checks for the gap.
 func (e *Entry) RunHeartbeat(ctx context.Context) {
 	for ctx.Err() == nil {
-		e.step(func(now time.Duration, _ *batch.Machine) { e.lastHeartbeat = now })
+		e.step(func(now time.Duration, _ *batch.Machine) {
+			e.lastHeartbeat = now
+			e.updateSmallServices(now)
+		})
 		e.configMu.Lock()
 		e.requestNewerConfig()
 		e.configMu.Unlock()
--- a/internal/runs/api.go
+++ b/internal/runs/api.go
@@ -145,6 +145,9 @@
 	// RejectedReport is a report whose instance is not at the worker's address. It was delayed, or
 	// comes from another program; the owner logs and counts it.
 	RejectedReport *Report
+	// CrashReport lists all tasks that may have caused a crash of the worker, for the entries that
+	// are not linked to this guard.
+	CrashReport *wire.WorkerCrash
 
 	Fetch *Fetch
 	Start *Start
--- a/internal/runs/crash.go
+++ b/internal/runs/crash.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"wigeontray/internal/identity"
 	"wigeontray/internal/wire"
 )
 
@@ -55,24 +56,36 @@
 }
 
 // reportCrash sends each entry the blamed tasks of the other entries, because a caller that gets
-// no answer resends its job to another entry.
+// no answer resends its job to another entry. All blamed tasks are reported for the entries without a
+// link to this guard.
 func (m *Machine) reportCrash(blamed map[Key]crashBlame) {
 	for _, recipient := range m.sortedEntries() {
-		var crash wire.WorkerCrash
-		for _, r := range m.sortedRuns() {
-			task := wire.TaskName{Job: r.key.Job, Step: r.key.Step, Index: r.key.Index}
-			switch {
-			case r.entry == recipient:
-			case blamed[r.key] == blameCertain:
-				crash.Tasks = append(crash.Tasks, task)
-			case blamed[r.key] == blamePossible:
-				crash.Suspects = append(crash.Suspects, task)
-			}
+		if crash := m.crashReportFor(recipient, blamed); crash != nil && m.entries[recipient].isLinked {
+			m.actions = append(m.actions, Action{Send: &Send{To: recipient, Frame: &wire.Frame{WorkerCrash: crash}}})
 		}
-		if len(crash.Tasks)+len(crash.Suspects) > 0 && m.entries[recipient].isLinked {
-			m.actions = append(m.actions, Action{Send: &Send{To: recipient, Frame: &wire.Frame{WorkerCrash: &crash}}})
+	}
+	if crash := m.crashReportFor("", blamed); crash != nil {
+		m.actions = append(m.actions, Action{CrashReport: crash})
+	}
+}
+
+// crashReportFor returns the blamed tasks of all entries but the recipient, or nil if there are none.
+func (m *Machine) crashReportFor(recipient identity.Incarnation, blamed map[Key]crashBlame) *wire.WorkerCrash {
+	crash := new(wire.WorkerCrash)
+	for _, r := range m.sortedRuns() {
+		task := wire.TaskName{Job: r.key.Job, Step: r.key.Step, Index: r.key.Index}
+		switch {
+		case r.entry == recipient:
+		case blamed[r.key] == blameCertain:
+			crash.Tasks = append(crash.Tasks, task)
+		case blamed[r.key] == blamePossible:
+			crash.Suspects = append(crash.Suspects, task)
 		}
 	}
+	if len(crash.Tasks)+len(crash.Suspects) == 0 {
+		return nil
+	}
+	return crash
 }
 
 // hasSuspect reports whether the worker has a task that may have run during an earlier crash.
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -51,6 +51,7 @@
 // entryState is the state kept for one entry.
 type entryState struct {
 	isLinked      bool
+	isRetiring    bool           // its link will be closed: it gets no worker and no offers
 	latestClock   time.Duration  // the latest guard clock that a frame of the entry carried
 	lastSeq       uint64         // Seq of its last RunTasks
 	tasksAge      time.Duration  // age of that frame on arrival
@@ -210,12 +211,33 @@
 	for _, entry := range m.sortedEntries() {
 		ent := m.entries[entry]
 		if ent.isLinked {
-			snapshot := m.worker
-			m.sendFrame(now, entry, &wire.Frame{GuardHeartbeat: &wire.GuardHeartbeat{Load: m.Load(now, entry), Worker: &snapshot}})
+			m.announceWorkerTo(now, entry, ent)
 		}
 	}
 }
 
+func (m *Machine) announceWorkerTo(now time.Duration, entry identity.Incarnation, ent *entryState) {
+	snapshot := m.worker
+	snapshot.Usable = snapshot.Usable && !ent.isRetiring
+	m.sendFrame(now, entry, &wire.Frame{GuardHeartbeat: &wire.GuardHeartbeat{Load: m.Load(now, entry), Worker: &snapshot}})
+}
+
+// SetRetiring sets whether the link to an entry will be closed. Its runs may finish.
+func (m *Machine) SetRetiring(now time.Duration, entry identity.Incarnation, isRetiring bool) {
+	ent := m.entries[entry]
+	if ent == nil || !ent.isLinked || ent.isRetiring == isRetiring {
+		return
+	}
+	ent.isRetiring, ent.offer = isRetiring, offer{}
+	m.announceWorkerTo(now, entry, ent)
+}
+
+// HasRunsOf reports whether runs of an entry may be at the worker.
+func (m *Machine) HasRunsOf(entry identity.Incarnation) bool {
+	ent := m.entries[entry]
+	return ent != nil && ent.runs > 0
+}
+
 // setUsable sets whether the worker accepts new tasks, and announces a change. A worker that
 // is leaving or drained, or whose guard is draining, stays unusable.
 func (m *Machine) setUsable(now time.Duration, isUsable bool) {
--- a/internal/runs/offer.go
+++ b/internal/runs/offer.go
@@ -99,7 +99,7 @@
 // go to other entries, which would start less urgent tasks. An entry whose frames arrive late
 // gets no offers, as it could not use them in time.
 func (m *Machine) canOffer(now time.Duration, ent *entryState) bool {
-	if !ent.isLinked || now < ent.offer.notBefore || ent.demand.CPU == 0 || ent.tasksAge > offerTimeout {
+	if !ent.isLinked || ent.isRetiring || now < ent.offer.notBefore || ent.demand.CPU == 0 || ent.tasksAge > offerTimeout {
 		return false
 	}
 	return ent.offer.expiresAt == 0 || ent.offer.capacity.CPU < ent.demand.CPU && !m.disabled.Has(policy.UrgentOffers)
--- a/internal/runs/tasks.go
+++ b/internal/runs/tasks.go
@@ -16,7 +16,7 @@
 		ent = new(entryState)
 		m.entries[entry] = ent
 	}
-	ent.isLinked, ent.demand, ent.offer, ent.lastSeq, ent.unusedOffers = true, wire.RunDemand{}, offer{}, 0, 0
+	ent.isLinked, ent.isRetiring, ent.demand, ent.offer, ent.lastSeq, ent.unusedOffers = true, false, wire.RunDemand{}, offer{}, 0, 0
 	ent.latestClock, ent.tasksAge = now, 0
 }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -67,6 +67,7 @@
 	JobReport      *JobReport      `cbor:"34,keyasint,omitempty"`
 	Drains         *Drains         `cbor:"35,keyasint,omitempty"`
 	WorkerCrash    *WorkerCrash    `cbor:"36,keyasint,omitempty"`
+	CrashRelay     *CrashRelay     `cbor:"37,keyasint,omitempty"`
 }
 
 // Hello opens a link from a guard to an entry and describes the guard's upstream.
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -31,8 +31,9 @@
 	Version     int                  `cbor:"1,keyasint"`
 	Incarnation identity.Incarnation `cbor:"2,keyasint"`
 	Revision    int64                `cbor:"3,keyasint,omitempty"` // revision of the configuration that the entry applies
-	Entries     []string             `cbor:"4,keyasint,omitempty"` // addresses of further entries that the guard should link to
+	Entries     []string             `cbor:"4,keyasint,omitempty"` // addresses of further entries
 	Software    string               `cbor:"5,keyasint,omitempty"`
+	LinkAll     bool                 `cbor:"6,keyasint,omitempty"` // as in Entries
 }
 
 // WorkerInstance identifies one start of a worker. A worker that restarts under the same ID has
@@ -223,19 +224,37 @@
 	Index int    `cbor:"3,keyasint"`
 }
 
+// CrashRelay carries the report of a worker crash from a guard that is linked to a part of the
+// entries to the other entries: to an entry of the guard, which sends it to further guards, and
+// from these to their entries.
+type CrashRelay struct {
+	Origin identity.Incarnation `cbor:"1,keyasint"` // guard of the worker
+	Seq    uint64               `cbor:"2,keyasint"` // counts the crashes that Origin has reported
+	Crash  WorkerCrash          `cbor:"3,keyasint"`
+	// Targets are the addresses of the entries to which the guard that receives the frame passes
+	// it on; empty in other frames.
+	Targets []string `cbor:"4,keyasint,omitempty"`
+}
+
 // Entries lists the entry addresses that the sender has learned.
 type Entries struct {
 	Addresses []string `cbor:"1,keyasint"`
+	// LinkAll asks a guard of the entry's choice to link to all entries, as its service has few
+	// guards. Only the announcers of a guard send it.
+	LinkAll bool `cbor:"2,keyasint,omitempty"`
 }
 
-// JobQuery asks all other entries of a guard for a job. The guard relays it, since entries
-// have no links to each other, and reports to From how many entries it has relayed it to,
-// in a JobReport with QueriedEntries.
+// JobQuery asks other entries for a job. A guard relays it, since entries have no links to each
+// other, and reports to From how many entries it has relayed it to, in a JobReport with
+// QueriedEntries. A guard may be linked to a part of the entries only; several then get a JobQuery
+// with the same Seq and different Targets.
 type JobQuery struct {
 	Seq    uint64               `cbor:"1,keyasint"` // assigned by From
 	From   identity.Incarnation `cbor:"2,keyasint"` // entry that asks
 	Job    string               `cbor:"3,keyasint"`
 	Cancel bool                 `cbor:"4,keyasint,omitempty"` // cancel the job where it is in progress
+	// Targets are the addresses of the entries that the guard asks; empty for all of its entries.
+	Targets []string `cbor:"5,keyasint,omitempty"`
 }
 
 // JobReport is the response to a JobQuery. The guard relays it to the entry To.
@@ -244,4 +263,5 @@
 	To             identity.Incarnation `cbor:"2,keyasint"`
 	State          int                  `cbor:"3,keyasint,omitempty"` // a batch.State; 0 if the job is unknown to the sender
 	QueriedEntries *int                 `cbor:"4,keyasint,omitempty"` // set by the guard: number of entries that were asked
+	Address        string               `cbor:"5,keyasint,omitempty"` // of the entry that reports; empty if a guard does
 }
