batchnode: a guard saves the addresses of its entries for its next process

Cause: all processes are killed while the store turns some machines away and takes their keys away. The two entries cannot register, and no guard that has just started knows their addresses: they are neither among the three that guards are set up with nor listed. An entry does not dial. So they had no worker and no configuration until the store answered them.

An older build ignores the field.

--- a/internal/batchnode/foreign_test.go
+++ b/internal/batchnode/foreign_test.go
@@ -7,15 +7,16 @@
 )
 
 // Guards against a stored value being accepted that does not describe a usable worker.
-func FuzzStoredReport(f *testing.F) {
-	for _, seed := range []string{``, `{}`, `[]`, `{"ID":7}`, `{"ID":"i-1","ClockMs":1,"Service":"s","Domain":"z","Capacity":{"CPU":1,"MemoryMB":1}}`} {
+func FuzzSavedState(f *testing.F) {
+	for _, seed := range []string{``, `{}`, `[]`, `{"ID":7}`, `{"ID":"i-1","ClockMs":1,"Service":"s","Domain":"z","Capacity":{"CPU":1,"MemoryMB":1}}`,
+		`{"ID":"i-1","ClockMs":1,"Service":"s","Domain":"z","Capacity":{"CPU":1,"MemoryMB":1},"Entries":["10.0.0.1:8166"]}`} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, value []byte) {
-		rep, err := decodeStored(value)
+		state, err := decodeState(value)
 		switch {
-		case err == nil && rep.Check() != nil:
-			t.Errorf("accepted %+v", rep)
+		case err == nil && state.Check() != nil:
+			t.Errorf("accepted %+v", state)
 		case err != nil && !errors.Is(err, ErrUnexpectedForm):
 			t.Errorf("%v", err)
 		}
--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -45,17 +45,8 @@
 	Texts        *Texts
 	TextsAddress string
 	FetchText    func(ctx context.Context, f *runs.Fetch) (string, error)
-	// ReportStore stores the last report of the worker for the next process of this guard; nil
-	// for none.
-	ReportStore ReportStore
-}
-
-// ReportStore stores the last report of the worker across restarts of the guard.
-type ReportStore interface {
-	// Load returns the report that was saved last, nil if there is none.
-	Load(ctx context.Context) (*runs.Report, error)
-	// Save replaces the stored report.
-	Save(ctx context.Context, rep *runs.Report) error
+	// StateStore keeps state for the next process of this guard; nil for none.
+	StateStore StateStore
 }
 
 // Guard runs the tasks of linked entries on one worker. All methods are safe for concurrent use.
@@ -114,8 +105,8 @@
 	g.ctx = ctx
 	g.mu.Unlock()
 	g.AddEntries(g.opt.Entries)
-	if g.opt.ReportStore != nil {
-		g.goroutines.Go(func() { g.persistReports(ctx) })
+	if g.opt.StateStore != nil {
+		g.goroutines.Go(func() { g.persistState(ctx) })
 	}
 	g.discoverEntries(ctx)
 	g.mu.Lock()
--- a/internal/batchnode/node_test.go
+++ b/internal/batchnode/node_test.go
@@ -11,7 +11,6 @@
 
 	"wigeontray/internal/batch"
 	"wigeontray/internal/errkind"
-	"wigeontray/internal/runs"
 	"wigeontray/internal/telemetry"
 )
 
@@ -189,22 +188,22 @@
 	})
 }
 
-// memoryReportStore is a ReportStore that holds the report in a variable.
-type memoryReportStore struct {
-	mu  sync.Mutex
-	rep *runs.Report
+// memoryStateStore is a StateStore that holds the state in a variable.
+type memoryStateStore struct {
+	mu    sync.Mutex
+	state *SavedState
 }
 
-func (m *memoryReportStore) Load(context.Context) (*runs.Report, error) {
+func (m *memoryStateStore) Load(context.Context) (*SavedState, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.rep, nil
+	return m.state, nil
 }
 
-func (m *memoryReportStore) Save(_ context.Context, rep *runs.Report) error {
+func (m *memoryStateStore) Save(_ context.Context, state *SavedState) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.rep = rep
+	m.state = state
 	return nil
 }
 
@@ -214,10 +213,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.stop()
-		w, reports := newWorker(f, time.Second), new(memoryReportStore)
+		w, saved := newWorker(f, time.Second), new(memoryStateStore)
 		ctx, kill := context.WithCancel(f.ctx)
 		first := NewGuard(GuardOptions{
-			Name: "guard", Worker: w, Clock: f.clock, Metrics: telemetry.New(), Log: discardLogger(), ReportStore: reports,
+			Name: "guard", Worker: w, Clock: f.clock, Metrics: telemetry.New(), Log: discardLogger(), StateStore: saved,
 			Dial: f.dial, Lookup: func(context.Context) ([]string, error) { return nil, nil },
 		})
 		go first.Run(ctx)
@@ -226,7 +225,7 @@
 		kill()
 		e := f.entry("a")
 		second := NewGuard(GuardOptions{
-			Name: "guard", Entries: []string{"a"}, Worker: w, Clock: f.clock, Metrics: telemetry.New(), Log: discardLogger(), ReportStore: reports,
+			Name: "guard", Entries: []string{"a"}, Worker: w, Clock: f.clock, Metrics: telemetry.New(), Log: discardLogger(), StateStore: saved,
 			Dial: f.dial, Lookup: func(context.Context) ([]string, error) { return nil, nil },
 		})
 		go second.Run(f.ctx)
@@ -247,7 +246,7 @@
 		e := f.entry("a")
 		g := NewGuard(GuardOptions{
 			Name: "guard", Entries: []string{"a"}, Worker: w, Clock: f.clock, Metrics: telemetry.New(), Log: discardLogger(),
-			ReportStore: &memoryReportStore{rep: rep}, Dial: f.dial, Lookup: func(context.Context) ([]string, error) { return nil, nil },
+			StateStore: &memoryStateStore{state: &SavedState{Report: *rep}}, Dial: f.dial, Lookup: func(context.Context) ([]string, error) { return nil, nil },
 		})
 		go g.Run(f.ctx)
 		time.Sleep(time.Second)
