batchnode: registration and list of entries are retried less and less often

Change: the loop that follows the orders goes on as before and wakes the others when the store is reachable again; these double their delay up to 1.6 s. A call that fails alone is repeated as soon as before.

Test: TestCallsToAnUnreachableStoreBecomeRare, 100 calls in ten seconds before, fewer than 75 allowed (50 for the loop that goes on).

--- a/internal/batchnode/returns_test.go
+++ b/internal/batchnode/returns_test.go
@@ -22,6 +22,7 @@
 	mu          sync.Mutex
 	down        bool
 	entries     []string
+	calls       int
 }
 
 // set changes the store under its lock.
@@ -34,6 +35,7 @@
 func (s *listStore) Range(context.Context, string) ([]store.KV, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return nil, 0, errors.New("store unavailable")
 	}
@@ -44,6 +46,14 @@
 	return out, 1, nil
 }
 
+// Grant fails and counts as a call: the tests grant leases only while the store is down.
+func (s *listStore) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return 0, errors.New("store unavailable")
+}
+
 func (s *listStore) Watch(ctx context.Context, _ string, _ int64, out chan<- store.Batch) error {
 	<-ctx.Done()
 	close(out)
@@ -106,6 +116,23 @@
 	})
 }
 
+// Guards against load on a store that turns entries away: each of them repeated three calls all the time,
+// of which one is enough to notice that the store is reachable again.
+func TestCallsToAnUnreachableStoreBecomeRare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage = 10 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &listStore{down: true}
+		followEntryList(ctx, s)
+		go (&Registration{Store: s, Key: "e/1", Address: "10.0.0.1:1", Log: discardLogger(), Recovery: new(StoreRecovery)}).Keep(ctx)
+		time.Sleep(outage)
+		cancel()
+		synctest.Wait()
+		followed := int(outage / (storeRetryDelay / 2)) // at most, by Source.Follow
+		qt.Check(t, s.calls < followed+followed/2, qt.IsTrue, qt.Commentf("%d calls", s.calls))
+	})
+}
+
 // Guards against an entry that is found late because it registered after the first read of the
 // list: entries that start together register one after the other.
 func TestChangedEntryListIsReadAgainSoon(t *testing.T) {
--- a/internal/batchnode/upkeep.go
+++ b/internal/batchnode/upkeep.go
@@ -23,8 +23,10 @@
 	renewInterval   = 2 * time.Second
 	listInterval    = 2 * time.Second
 	// storeRetryDelay is the delay after a failed call: the store may be unavailable for a
-	// long time, and every call adds load.
-	storeRetryDelay = 400 * time.Millisecond
+	// long time, and every call adds load. Calls that StoreRecovery repeats once the store is
+	// reachable double it up to maxStoreRetryDelay.
+	storeRetryDelay    = 400 * time.Millisecond
+	maxStoreRetryDelay = 4 * storeRetryDelay
 	// MinWatchWait is the shortest time for which the store holds a watch call open for a change.
 	// It also bounds the time until a dead connection is detected, as a configuration must be in
 	// force within 2 s. See Entry.WatchWait.
@@ -62,11 +64,13 @@
 // Keep maintains the registration until ctx ends, and then revokes it.
 func (r *Registration) Keep(ctx context.Context) {
 	var lease store.LeaseID
+	var backoff storeBackoff
 	for ctx.Err() == nil {
 		delay := renewInterval
-		if err := r.renew(ctx, &lease); err != nil && ctx.Err() == nil {
+		err := r.renew(ctx, &lease)
+		if retryDelay := backoff.next(err); err != nil && ctx.Err() == nil {
 			r.Log.Warn("registration in the store failed", "err", err)
-			delay = pause.Jitter(storeRetryDelay)
+			delay = retryDelay
 		}
 		r.Recovery.wait(ctx, delay)
 	}
@@ -79,6 +83,21 @@
 	}
 }
 
+// storeBackoff computes the delays between failed calls to the store. The zero value is ready for use.
+type storeBackoff struct {
+	delay time.Duration // after the next failure; 0 for storeRetryDelay
+}
+
+// next returns the delay after a call that has ended with err.
+func (b *storeBackoff) next(err error) time.Duration {
+	delay := max(storeRetryDelay, b.delay)
+	b.delay = min(2*delay, maxStoreRetryDelay)
+	if err == nil {
+		b.delay = 0
+	}
+	return pause.Jitter(delay)
+}
+
 // renew renews the lease, or registers under a new lease if there is none or it has expired.
 func (r *Registration) renew(ctx context.Context, lease *store.LeaseID) error {
 	if *lease != 0 {
@@ -179,16 +198,17 @@
 // had no guard for up to four seconds, and refused every request.
 func (l *Listing) Keep(ctx context.Context, update func([]string)) {
 	var previous []string
+	var backoff storeBackoff
 	for ctx.Err() == nil {
 		addresses, err := l.Addresses(ctx)
 		if err == nil && len(addresses) > 0 {
 			update(slices.Clone(addresses))
 		}
-		delay := storeRetryDelay
+		delay := backoff.next(err)
 		if err == nil && len(addresses) > 0 && slices.Equal(addresses, previous) {
-			delay = 2 * listInterval
+			delay = pause.Jitter(2 * listInterval)
 		}
 		previous = addresses
-		l.Recovery.wait(ctx, pause.Jitter(delay))
+		l.Recovery.wait(ctx, delay)
 	}
 }
