--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -1,14 +1,12 @@
 package batchnode
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"wigeontray/internal/batch"
-	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/policy"
 	"wigeontray/internal/runs"
@@ -47,7 +45,7 @@
 	waiters        map[string][]*waiter
 	acceptSlots    chan struct{} // one element for each link that is being accepted
 	known          addressList   // addresses of all entries, this one included
-	small          smallServices
+	smallServices  smallServices
 	relayedCrashes []relayedCrash // latest, oldest first
 	queries        queries
 	outgoingCopies outgoingCopies
@@ -170,166 +168,6 @@
 	}
 }
 
-func (e *Entry) finishJob(now time.Duration, out *batch.Outcome) {
-	waiting := e.waiters[out.ID]
-	delete(e.waiters, out.ID)
-	e.countOutcome(out)
-	for _, w := range waiting {
-		e.opt.Metrics.Observe(telemetry.JobLatency, now-w.startedAt)
-		w.outcome <- out
-	}
-	e.logOutcome(now, out)
-}
-
-// logOutcome logs the outcome of a job: one line if it is complete, and otherwise also one
-// line per decision about it. The decisions are buffered until the job ends, because only
-// then is it known whether it failed, and logging them for every job would cost more than
-// running the jobs.
-func (e *Entry) logOutcome(now time.Duration, out *batch.Outcome) {
-	if out.Err == nil {
-		e.opt.RoutineLog.Info("job ended", "job", out.ID, "request", out.Job.Request, "outcome", "complete", "took", now-out.Events[0].At, "events", len(out.Events))
-		return
-	}
-	for i := range out.Events {
-		event := &out.Events[i]
-		e.opt.Log.Info(event.Decision.String(), "job", out.ID, "ago", now-event.At, "guard", event.Guard, "tasks", event.Tasks,
-			"outcome", event.Kind, "free", event.Free, "age", event.Age, "wait", event.ExpectedWait, "goal", event.TargetDuration)
-	}
-	e.opt.Log.Info("job ended", "job", out.ID, "request", out.Job.Request, "queue", out.Job.Queue.Name, "outcome", out.Err.Kind, "ran", out.Err.Ran, "cause", out.Err.Detail, "took", now-out.Events[0].At)
-}
-
-func (e *Entry) countOutcome(out *batch.Outcome) {
-	switch {
-	case out.Err == nil:
-		e.opt.Metrics.Inc(telemetry.JobsAnswered)
-	case out.Err.Kind == errkind.Cancelled:
-		e.opt.Metrics.Inc(telemetry.JobsCancelled)
-	default:
-		e.opt.Metrics.Inc(telemetry.JobsFailed)
-	}
-}
-
-// Submit runs a job and returns its outcome. timeout is how long the caller waits. If the
-// job is already queued or running, the request joins it; if it is complete or has failed
-// permanently, the same outcome is returned again. A job whose request may have been delayed
-// (HeldUp) is refused if another entry runs it. If ctx ends first, Submit returns nil and
-// the job is cancelled, unless another request waits for it.
-func (e *Entry) Submit(ctx context.Context, job *batch.Job, timeout time.Duration) *batch.Outcome {
-	if !e.waitAfterResume(ctx) {
-		return nil
-	}
-	if job.HeldUp && e.runsElsewhere(ctx, job.ID) {
-		e.logNotStarted(job, "another entry runs it")
-		return &batch.Outcome{ID: job.ID, Err: errkind.New(errkind.OutcomeUnknown, "another entry runs the job")}
-	}
-	if ctx.Err() != nil {
-		return nil
-	}
-	w, out := e.submitOrJoin(job, timeout)
-	if out != nil {
-		return out
-	}
-	select {
-	case out := <-w.outcome:
-		return out
-	case <-ctx.Done():
-		e.abandon(job.ID, w)
-		return nil
-	}
-}
-
-// HandleCallerDisconnect logs and counts a request that is not started because its caller disconnected
-// before the request was read.
-func (e *Entry) HandleCallerDisconnect(job *batch.Job) {
-	e.opt.Metrics.Inc(telemetry.CallersDisconnected)
-	e.logNotStarted(job, "its caller has left")
-}
-
-func (e *Entry) logNotStarted(job *batch.Job, cause string) {
-	e.opt.Log.Info("request not begun", "job", job.ID, "request", job.Request, "cause", cause)
-}
-
-func (e *Entry) submitOrJoin(job *batch.Job, timeout time.Duration) (*waiter, *batch.Outcome) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	w := &waiter{outcome: make(chan *batch.Outcome, 1), startedAt: e.opt.Clock()}
-	switch e.machine.State(job.ID) {
-	case batch.Queued, batch.Running:
-		e.opt.Metrics.Inc(telemetry.JobsResubmitted)
-		e.waiters[job.ID] = append(e.waiters[job.ID], w)
-		return w, nil
-	case batch.Complete:
-		e.opt.Metrics.Inc(telemetry.JobsResubmitted)
-		return nil, &batch.Outcome{ID: job.ID}
-	case batch.Failed:
-		e.opt.Metrics.Inc(telemetry.JobsResubmitted)
-		return nil, &batch.Outcome{ID: job.ID, Err: errkind.New(errkind.UpstreamFailed, "the job has failed before")}
-	}
-	var refused *errkind.Error
-	e.waiters[job.ID] = append(e.waiters[job.ID], w)
-	e.stepLocked(func(now time.Duration, m *batch.Machine) {
-		job.Deadline = now + timeout
-		refused = m.Submit(now, job)
-	})
-	if refused != nil {
-		delete(e.waiters, job.ID)
-		e.opt.Metrics.CountRefusal(refused.Kind)
-		s := e.machine.Snapshot(w.startedAt)
-		e.opt.Log.Info("job refused", "job", job.ID, "request", job.Request, "queue", job.Queue.Name, "reason", refused.Kind, "cause", refused.Detail, "after", refused.After,
-			"waiting", s.Waiting, "running", s.Running, "workers", s.Workers, "free", s.Free, "entries", s.Entries, "link_rate", s.LinkRate, "link_ahead", s.LinkBacklog)
-		return nil, &batch.Outcome{ID: job.ID, Err: refused}
-	}
-	e.opt.Metrics.Inc(telemetry.JobsAccepted)
-	return w, nil
-}
-
-// abandon removes a waiter from a job, and cancels the job if it was the last one.
-func (e *Entry) abandon(id string, w *waiter) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var remaining []*waiter
-	for _, other := range e.waiters[id] {
-		if other != w {
-			remaining = append(remaining, other)
-		}
-	}
-	if len(remaining) > 0 {
-		e.waiters[id] = remaining
-		return
-	}
-	delete(e.waiters, id)
-	e.stepLocked(func(now time.Duration, m *batch.Machine) { m.Cancel(now, id) })
-}
-
-// Cancel cancels a job and reports whether it was queued or running at this entry.
-func (e *Entry) Cancel(id string) (found bool) {
-	e.step(func(now time.Duration, m *batch.Machine) { found = m.Cancel(now, id) })
-	return found
-}
-
-// State returns the state of a job at this entry.
-func (e *Entry) State(id string) batch.State {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.machine.State(id)
-}
-
-// Pending returns the number of jobs in a queue of which no task was sent to a worker yet.
-func (e *Entry) Pending(queue string) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_, pending := e.machine.Jobs(queue)
-	return pending
-}
-
-// OpenJobs returns the number of jobs without an outcome.
-func (e *Entry) OpenJobs() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	open, _ := e.machine.Jobs("")
-	return open
-}
-
 // Workers returns the number of workers that accept tasks.
 func (e *Entry) Workers() int {
 	e.mu.Lock()
@@ -337,13 +175,6 @@
 	return e.machine.Workers()
 }
 
-// AnswerAll fails every open job: its outcome is unknown unless nothing of it ran. If the
-// process exited without it, the connections of the callers would break, and the callers
-// could not determine whether their jobs had been read.
-func (e *Entry) AnswerAll(reason string) {
-	e.step(func(now time.Duration, m *batch.Machine) { m.AnswerAll(now, reason) })
-}
-
 // Close closes all links and stops the timer.
 func (e *Entry) Close() {
 	e.mu.Lock()
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -93,7 +93,7 @@
 	e.opt.Log.Info("guard linked", "guard", hello.Incarnation, "worker", hello.Worker.WorkerInstance, "usable", hello.Worker.Usable)
 	e.sendToGuard(hello.Incarnation, &wire.Frame{RunWelcome: &wire.RunWelcome{
 		Version: wire.Version, Incarnation: e.id, Revision: e.configVersion,
-		Entries: e.addressesFor(hello.Incarnation), LinkAll: e.small.linkAll[hello.Worker.Service], Software: telemetry.Version,
+		Entries: e.addressesFor(hello.Incarnation), LinkAll: e.smallServices.linkAll[hello.Worker.Service], Software: telemetry.Version,
 	}})
 	drains := e.drains.known
 	e.sendToGuard(hello.Incarnation, &wire.Frame{Drains: &drains}) // must precede the first task
--- a/internal/batchnode/fewguards.go
+++ b/internal/batchnode/smallservices.go
@@ -15,19 +15,20 @@
 // are linked to it.
 
 const (
-	// fewGuards is the number of linked guards below which a service has few. It has few until
-	// fewGuardsFactor as many would be left if its guards linked to subsets.
-	fewGuards       = 64
-	fewGuardsFactor = 2
-	// fewGuardsDelay is how long a service has to have few guards, and minLinkingTime how long all
-	// guards may take to link to an entry that has started.
-	fewGuardsDelay = 3 * time.Second
-	minLinkingTime = 10 * time.Second
+	// minServiceGuards is the number of guards that an entry has to see of a service that is not
+	// small. A small one stays so until smallServiceExitFactor as many would be left after its guards
+	// have gone back to subsets.
+	minServiceGuards       = 64
+	smallServiceExitFactor = 2
+	// smallServiceDelay is how long an entry has to see too few guards, and minLinkingTime how long
+	// all guards may take to link to an entry that has started.
+	smallServiceDelay = 3 * time.Second
+	minLinkingTime    = 10 * time.Second
 )
 
 // smallServices tracks which services have few guards.
 type smallServices struct {
-	smallSince map[string]time.Duration // when each service was first seen with few guards
+	smallSince map[string]time.Duration // when an entry first saw too few guards of a service
 	linkAll    map[string]bool          // services whose guards link to all entries
 }
 
@@ -44,18 +45,18 @@
 	for _, n := range guards {
 		linked += n
 	}
-	isSettled := linked >= fewGuards || age >= minLinkingTime
+	isSettled := linked >= minServiceGuards || age >= minLinkingTime
 	since := make(map[string]time.Duration)
 	for service, n := range guards {
 		switch {
 		case before[service]:
-			s.linkAll[service] = n*entriesPerGuard < fewGuardsFactor*fewGuards*entries
-		case n < fewGuards && isSettled:
+			s.linkAll[service] = n*entriesPerGuard < smallServiceExitFactor*minServiceGuards*entries
+		case n < minServiceGuards && isSettled:
 			since[service] = now
 			if at, isKnown := s.smallSince[service]; isKnown {
 				since[service] = at
 			}
-			s.linkAll[service] = now-since[service] >= fewGuardsDelay
+			s.linkAll[service] = now-since[service] >= smallServiceDelay
 		}
 	}
 	maps.DeleteFunc(s.linkAll, func(_ string, isSmall bool) bool { return !isSmall })
@@ -66,14 +67,14 @@
 // updateSmallServices tells the guards of which this entry is an announcer whether to link to all
 // entries. mu must be held.
 func (e *Entry) updateSmallServices(now time.Duration) {
-	if len(e.known.addresses) <= entriesPerGuard && len(e.small.linkAll) == 0 {
+	if len(e.known.addresses) <= entriesPerGuard && len(e.smallServices.linkAll) == 0 {
 		return
 	}
-	if !e.small.update(now, now-e.startedAt, e.machine.GuardsByService(), len(e.known.addresses)) {
+	if !e.smallServices.update(now, now-e.startedAt, e.machine.GuardsByService(), len(e.known.addresses)) {
 		return
 	}
-	e.opt.Log.Info("services with few guards changed", "services", slices.Sorted(maps.Keys(e.small.linkAll)))
-	e.machine.SetSharedByAll(e.small.linkAll)
+	e.opt.Log.Info("services with few guards changed", "services", slices.Sorted(maps.Keys(e.smallServices.linkAll)))
+	e.machine.SetSharedByAll(e.smallServices.linkAll)
 	for guard := range e.links {
 		if slices.Contains(e.known.announcersFor(guard), e.opt.Address) {
 			e.sendToGuard(guard, &wire.Frame{Entries: &wire.Entries{LinkAll: e.linksToAll(guard)}})
@@ -83,5 +84,5 @@
 
 // linksToAll reports whether a guard shall link to all entries. mu must be held.
 func (e *Entry) linksToAll(guard identity.Incarnation) bool {
-	return e.small.linkAll[e.machine.ServiceOf(guard)]
+	return e.smallServices.linkAll[e.machine.ServiceOf(guard)]
 }
