batchnode: a query goes again, through other guards, to entries that a guard does not reach

What callers would see: cancels of jobs at other entries, and questions about unknown ones, answered with 503 for up to a minute after an entry has left a fleet of more than 64.

Cause: guards dial an entry that has left for a minute, entries drop it after seconds. Meanwhile the subset that an entry computes for a guard differs from the guard's own by one entry for each that has left, and a query that was to reach it through this guard stayed uncertain.

Change: a guard tells which targets it has no link to, and the entry sends the query for these through guards that have not failed it, 16 times at most, within the same time. Guards that were not taken remain candidates.

--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -147,7 +147,7 @@
 	case f.JobQuery != nil:
 		e.answerQuery(hello.Incarnation, f.JobQuery)
 	case f.JobReport != nil:
-		e.queries.handleReport(f.JobReport)
+		e.handleReport(hello.Incarnation, f.JobReport)
 	default:
 		e.opt.Metrics.Inc(telemetry.FramesUnknown)
 	}
--- a/internal/batchnode/guardtargets_test.go
+++ b/internal/batchnode/guardtargets_test.go
@@ -264,3 +264,22 @@
 	qt.Check(t, covered, qt.DeepEquals, addresses)
 	qt.Check(t, len(relays) < 40, qt.IsTrue, qt.Commentf("%d guards", len(relays)))
 }
+
+// Guards against queries that stay uncertain for as long as guards dial an entry that has left: their
+// subsets then differ from those that the entries compute.
+func TestQueryIsCertainWhileGuardsDialAnEntryThatHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLargeFleet(t, 90, 30)
+		defer f.stop()
+		for _, address := range f.addresses[:3] {
+			f.kill(address)
+		}
+		f.addresses = f.addresses[3:]
+		f.setEntries(f.addresses...)
+		time.Sleep(100 * time.Millisecond)
+		for i := range 5 {
+			_, certain := f.entries[f.addresses[i]].queryOthers(f.ctx, "1", false, make(map[identity.Incarnation]bool))
+			qt.Check(t, certain, qt.IsTrue, qt.Commentf("asked at %s", f.addresses[i]))
+		}
+	})
+}
--- a/internal/batchnode/query.go
+++ b/internal/batchnode/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,37 +37,29 @@
 
 // query is one query to all other entries.
 type query struct {
-	awaited           map[string]bool // addresses of the entries that have not reported
-	unnamedReports    int             // reports of entries of an earlier release, which do not state their address
-	unconfirmedRelays int             // guards that have not reported to how many entries they have relayed the query
-	relayedTo         int             // entries to which the other guards have relayed it
+	request           wire.JobQuery // without targets
+	triedGuards       map[identity.Incarnation]bool
+	excludedGuards    map[identity.Incarnation]bool // those of earlier attempts, and those that did not reach a target
+	repeats           int                           // how often it was sent again to entries that a guard does not reach
+	awaited           map[string]bool               // addresses of the entries that have not reported
+	unnamedReports    int                           // reports of entries of an earlier release, which do not state their address
+	unconfirmedRelays int                           // guards that have not reported to how many entries they have relayed the query
+	relayedTo         int                           // entries to which the other guards have relayed it
 	receivedReports   int
 	state             batch.State   // Unknown until an entry reports the job
 	done              chan struct{} // closed when all reports have arrived
 }
 
-// begin adds a query to the entries with the given addresses and returns it with its sequence number.
-func (q *queries) begin(others []string) (uint64, *query) {
+// begin adds a query to the entries with the given addresses.
+func (q *queries) begin(request wire.JobQuery, others []string, triedGuards map[identity.Incarnation]bool) *query {
 	q.lastSeq++
-	added := &query{awaited: make(map[string]bool, len(others)), done: make(chan struct{})}
+	request.Seq = q.lastSeq
+	added := &query{request: request, triedGuards: triedGuards, excludedGuards: maps.Clone(triedGuards), awaited: make(map[string]bool, len(others)), done: make(chan struct{})}
 	for _, address := range others {
 		added.awaited[address] = true
 	}
-	q.pending[q.lastSeq] = added
-	return q.lastSeq, added
-}
-
-// handleReport handles the report of a guard (with QueriedEntries) or of an entry.
-func (q *queries) handleReport(r *wire.JobReport) {
-	pendingQuery := q.pending[r.Seq]
-	if pendingQuery == nil {
-		return // the query has timed out or is complete
-	}
-	pendingQuery.addReport(r)
-	if pendingQuery.hasAllReports() {
-		close(pendingQuery.done)
-		delete(q.pending, r.Seq)
-	}
+	q.pending[request.Seq] = added
+	return added
 }
 
 func (q *query) addReport(r *wire.JobReport) {
@@ -141,12 +134,8 @@
 	defer cancel()
 	e.mu.Lock()
 	others := withoutKnown(e.known.addresses, []string{e.opt.Address})
-	seq, q := e.queries.begin(others)
-	for _, relay := range e.relaysTo(others, triedGuards) {
-		triedGuards[relay.guard] = true
-		q.unconfirmedRelays++
-		e.sendToGuard(relay.guard, &wire.Frame{JobQuery: &wire.JobQuery{Seq: seq, From: e.id, Job: id, Cancel: cancelJob, Targets: relay.targets}})
-	}
+	q := e.queries.begin(wire.JobQuery{From: e.id, Job: id, Cancel: cancelJob}, others, triedGuards)
+	e.sendQuery(q, others)
 	e.mu.Unlock()
 	select {
 	case <-q.done:
@@ -154,10 +143,45 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.queries.pending, seq)
+	delete(e.queries.pending, q.request.Seq)
 	return q.state, q.isCertain()
 }
 
+// sendQuery sends a query to the entries with the given addresses. mu must be held.
+func (e *Entry) sendQuery(q *query, addresses []string) {
+	for _, relay := range e.relaysTo(addresses, q.excludedGuards) {
+		q.triedGuards[relay.guard] = true
+		q.unconfirmedRelays++
+		request := q.request
+		request.Targets = relay.targets
+		e.sendToGuard(relay.guard, &wire.Frame{JobQuery: &request})
+	}
+}
+
+// maxQueryRepeats is how often a query is sent through other guards to entries that a guard does not
+// reach. The subset that an entry computes for a guard differs from the guard's own while their lists of
+// entries differ.
+const maxQueryRepeats = 16
+
+// handleReport handles the report of a guard (with QueriedEntries), or of an entry through a guard. mu
+// must be held.
+func (e *Entry) handleReport(guard identity.Incarnation, r *wire.JobReport) {
+	q := e.queries.pending[r.Seq]
+	if q == nil {
+		return // the query has timed out or is complete
+	}
+	q.addReport(r)
+	if len(r.Unreached) > 0 && q.repeats < maxQueryRepeats {
+		q.repeats++
+		q.excludedGuards[guard] = true
+		e.sendQuery(q, r.Unreached)
+	}
+	if q.hasAllReports() {
+		close(q.done)
+		delete(e.queries.pending, r.Seq)
+	}
+}
+
 // answerQuery answers the query of another entry through the guard that relayed it. mu must be
 // held.
 func (e *Entry) answerQuery(guard identity.Incarnation, q *wire.JobQuery) {
@@ -170,16 +194,17 @@
 }
 
 // relayQuery relays the query of an entry to its targets, or to all other entries, and reports their
-// number to it. mu must be held.
+// number and the targets without a link to it. mu must be held.
 func (g *Guard) relayQuery(from *guardLink, q *wire.JobQuery) {
-	relayed, targets := 0, q.Targets
+	relayed, targets, unreached := 0, q.Targets, slices.Clone(q.Targets)
 	q.Targets = nil
 	for name, l := range g.links {
 		if name != from.entry && (len(targets) == 0 || slices.Contains(targets, l.address)) && l.link.Send(&wire.Frame{JobQuery: q}) == nil {
 			relayed++
+			unreached = withoutKnown(unreached, []string{l.address})
 		}
 	}
-	g.relayReport(&wire.JobReport{Seq: q.Seq, To: q.From, QueriedEntries: &relayed})
+	g.relayReport(&wire.JobReport{Seq: q.Seq, To: q.From, QueriedEntries: &relayed, Unreached: unreached})
 }
 
 // relayReport relays a report to the entry that sent the query. mu must be held.
--- a/internal/batchnode/relay.go
+++ b/internal/batchnode/relay.go
@@ -41,21 +41,22 @@
 // chooseRelays assigns each address to one of the guards that link to it, in the given order. An
 // address to which none of them links is left out.
 func chooseRelays(known *addressList, guards []identity.Incarnation, addresses []string) (relays []relay) {
-	remaining := slices.Clone(addresses)
-	slices.Sort(remaining)
+	remaining, guards := slices.Sorted(slices.Values(addresses)), slices.Clone(guards)
 	for len(remaining) > 0 && len(guards) > 0 {
 		candidates := guards[:min(relayCandidates, len(guards))]
-		guards = guards[len(candidates):]
 		var best relay
 		for _, guard := range candidates {
 			if targets := inBoth(known.subsetFor(guard), remaining); len(targets) > len(best.targets) {
 				best = relay{guard: guard, targets: targets}
 			}
 		}
-		if len(best.targets) > 0 {
-			relays = append(relays, best)
-			remaining = withoutKnown(remaining, best.targets)
+		if len(best.targets) == 0 {
+			guards = guards[len(candidates):]
+			continue
 		}
+		relays = append(relays, best)
+		remaining = withoutKnown(remaining, best.targets)
+		guards = slices.DeleteFunc(guards, func(g identity.Incarnation) bool { return g == best.guard })
 	}
 	return relays
 }
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -264,4 +264,5 @@
 	State          int                  `cbor:"3,keyasint,omitempty"` // a batch.State; 0 if the job is unknown to the sender
 	QueriedEntries *int                 `cbor:"4,keyasint,omitempty"` // set by the guard: number of entries that were asked
 	Address        string               `cbor:"5,keyasint,omitempty"` // of the entry that reports; empty if a guard does
+	Unreached      []string             `cbor:"6,keyasint,omitempty"` // set by the guard: targets to which it has no link
 }
