batch: a task waits for a worker on which it ends in time, while others would be too slow

Cause: when no fast worker had room for a moment, a task was placed on the fastest of the slow ones, where it ended too late.

Change: a task waits if a worker has room for it on which it would not end in time, and another, without room at present, would still end it in time. As time passes no worker would, and it is placed anywhere. A job of which nothing was sent waits so for half of the time after which it is refused; it is then placed where there is room. Jobs that wait for faster workers only do not count as work ahead at admission, as they leave the room to others.

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -150,11 +150,12 @@
 
 // expectedWait returns how long a job is expected to wait for room: the work queued ahead of it
 // plus half of its own, divided by this entry's share of the service's capacity. It is 0 if no
-// work is queued ahead and each of the job's first steps fits into the free room.
+// work is queued ahead and each of the job's first steps fits into the free room. Jobs that wait only for
+// faster workers do not count: they leave the free room to others.
 func (m *Machine) expectedWait(spec *Job) time.Duration {
 	var workAhead float64 // thousandths of a core, times nanoseconds
 	for _, j := range m.queue {
-		if j.spec.Queue.Priority <= spec.Queue.Priority && j.spec.Queue.Service == spec.Queue.Service {
+		if !j.isHeld && j.spec.Queue.Priority <= spec.Queue.Priority && j.spec.Queue.Service == spec.Queue.Service {
 			workAhead += m.waitingWork(j)
 		}
 	}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -16,6 +16,8 @@
 	seq               uint64           // order of arrival
 	targetEnd         time.Duration    // time at which it should end
 	sendDeadline      time.Duration    // time at which it is refused if no task was sent
+	holdUntil         time.Duration    // time until which its first task may wait for a worker that is fast enough
+	isHeld            bool             // a task waits although a worker that is too slow has room
 	steps             []step
 	activeRuns        []*activeRun
 	events            []Event
@@ -53,7 +55,8 @@
 	m.seq++
 	j := &job{spec: spec, packedText: wire.PackText(spec.Text), seq: m.seq, steps: make([]step, len(spec.Steps))}
 	j.targetEnd = now + targetDuration(spec.Queue, criticalPath)
-	j.sendDeadline = now + m.maxWait(spec.Queue, criticalPath)
+	maxWait := m.maxWait(spec.Queue, criticalPath)
+	j.sendDeadline, j.holdUntil = now+maxWait, now+maxWait/2
 	for i := range spec.Steps {
 		s := &j.steps[i]
 		s.spec, s.stepIndex = &spec.Steps[i], i
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -24,7 +24,7 @@
 		if !m.uplink.canSend(now) {
 			return
 		}
-		j.hasTriedPlacement = true
+		j.hasTriedPlacement, j.isHeld = true, false
 		if maxFree > 0 && m.canStart(j, maxFree) && m.placeJob(now, j, maxFree) {
 			maxFree = m.maxFreeCPU()
 		}
@@ -135,7 +135,7 @@
 func (m *Machine) placeStep(now time.Duration, j *job, s *step, batches []*guardBatch) []*guardBatch {
 	unplaced, maxSlowness := s.waiting[:0], m.maxSlowness(now, j, s)
 	for _, index := range s.waiting {
-		at := m.chooseGuard(j, s, index, maxSlowness, batches)
+		at := m.chooseGuard(now, j, s, index, maxSlowness, batches)
 		if at == nil {
 			unplaced = append(unplaced, index)
 			continue
@@ -175,7 +175,7 @@
 
 // chooseGuard returns a guard with room for the task, or nil. On a low-bandwidth link it prefers
 // guards that already get tasks of the job, as the job's text is sent to them anyway.
-func (m *Machine) chooseGuard(j *job, s *step, index int, maxSlowness float64, batches []*guardBatch) *guard {
+func (m *Machine) chooseGuard(now time.Duration, j *job, s *step, index int, maxSlowness float64, batches []*guardBatch) *guard {
 	t := &s.tasks[index]
 	req := taskRequirements(j.spec.Queue, s.spec)
 	req.Rack, req.MaxSlowness = s.spec.Rack, maxSlowness
@@ -198,12 +198,23 @@
 		}
 	}
 	i := sched.BestWorker(m.workers, &req)
-	if i == sched.NoWorker {
+	if i == sched.NoWorker || m.holdsForSpeed(now, j, &req, &m.workers[i]) {
 		return nil
 	}
 	return m.guards[i]
 }
 
+// holdsForSpeed reports whether a task waits although a worker has room for it: it would end too late there,
+// and not on a worker that has no room at present. A job that has not started waits only so long that it can
+// still be placed before it is refused.
+func (m *Machine) holdsForSpeed(now time.Duration, j *job, req *sched.TaskRequest, w *sched.WorkerView) bool {
+	if !w.IsTooSlow(req) || !j.hasSentTasks && now >= j.holdUntil || !sched.HasTimelyWorker(m.workers, req) {
+		return false
+	}
+	j.isHeld = true
+	return true
+}
+
 // startRun records a new run of a task at a guard and returns the task's description for the
 // guard.
 func (m *Machine) startRun(now time.Duration, j *job, s *step, index int, at *guard) wire.RunTask {
--- a/internal/batch/tick.go
+++ b/internal/batch/tick.go
@@ -119,6 +119,9 @@
 	}
 	for _, j := range m.jobs {
 		consider(j.answerDeadline())
+		if j.isHeld && !j.hasSentTasks {
+			consider(j.holdUntil)
+		}
 	}
 	for _, r := range m.activeRuns {
 		if r.endedBy > 0 {
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -145,12 +145,29 @@
 
 func (w *WorkerView) rank(req *TaskRequest) workerRank {
 	rank := workerRank{isNearData: req.Rack != "" && w.Rack == req.Rack, isOwnDomain: w.Domain == req.Domain}
-	if slowness := cmp.Or(w.Slowness, 1); slowness > req.MaxSlowness {
-		rank.slowness = slowness
+	if w.IsTooSlow(req) {
+		rank.slowness = cmp.Or(w.Slowness, 1)
 	}
 	return rank
 }
 
+// IsTooSlow reports whether the task is not expected to end in time on the worker.
+func (w *WorkerView) IsTooSlow(req *TaskRequest) bool {
+	return cmp.Or(w.Slowness, 1) > req.MaxSlowness
+}
+
+// HasTimelyWorker reports whether some worker, with or without free room, is usable and expected to end the task in
+// time.
+func HasTimelyWorker(workers []WorkerView, req *TaskRequest) bool {
+	for i := range workers {
+		w := &workers[i]
+		if w.State == Usable && w.Service == req.Service && !w.IsTooSlow(req) && w.CanRun(req) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r workerRank) isBefore(other workerRank) bool {
 	switch {
 	case r.isNearData != other.isNearData:
