sched: a worker that a task must avoid is no reason to wait for it

A task waits for a worker that would end it in time; workers on which the task has failed, or which have their share of its step, counted.

--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -156,12 +156,12 @@
 	return cmp.Or(w.Slowness, 1) > req.MaxSlowness
 }
 
-// HasTimelyWorker reports whether some worker, with or without free room, is usable and expected to end the task in
-// time.
+// HasTimelyWorker reports whether some worker, with or without free room, may be given the task and is
+// expected to end it in time.
 func HasTimelyWorker(workers []WorkerView, req *TaskRequest) bool {
 	for i := range workers {
 		w := &workers[i]
-		if w.State == Usable && w.Service == req.Service && !w.IsTooSlow(req) && w.CanRun(req) {
+		if w.State == Usable && w.CanRun(req) && !w.IsTooSlow(req) && (req.IsExcluded == nil || !req.IsExcluded(i)) {
 			return true
 		}
 	}
