runs: a worker that was silent before it crashed leaves its crash in doubt

Cause: a run counts as present at a crash unless the worker was already leaving requests unanswered before its last answer. A worker that answers all requests, then leaves two Holds unanswered, then crashes, was not one of these, and a run that had ended during the silence was blamed for certain.

Change: a Hold that times out without a refused or lost connection, before the first refused one, marks the crash as one after a silence. A run is then blamed for certain only if less than half of its expected time had passed when the crash was noticed. A Hold that the crash itself interrupts ends with its connection and casts no doubt.

The simulation let a Hold that a crash interrupts time out.

Test: runs.TestRunThatMayHaveEndedDuringSilenceIsOnlySuspected, red before.

--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -79,6 +79,10 @@
 		w.s.jobs[k.Job].recordCrash(taskID(k))
 	}
 	w.isUp, w.active = false, nil
+	if h := w.pendingHold; h != nil {
+		w.pendingHold = nil
+		h.answer(&runs.HoldAnswer{Verdict: runs.NoAnswer, IsConnLost: true})
+	}
 	w.s.after(downtime, w.reset)
 }
 
--- a/internal/runs/crash.go
+++ b/internal/runs/crash.go
@@ -1,6 +1,9 @@
 package runs
 
 import (
+	"cmp"
+	"time"
+
 	"wigeontray/internal/identity"
 	"wigeontray/internal/wire"
 )
@@ -25,7 +28,7 @@
 // as the worker may have crashed before it could answer. Only runs that were certainly there
 // (blameCertain) count towards failing their job. If some of the runs are suspected of an earlier
 // crash, only these can be blamed for certain.
-func (m *Machine) assignBlame() map[Key]crashBlame {
+func (m *Machine) assignBlame(now time.Duration) map[Key]crashBlame {
 	blamed, hasSuspects := make(map[Key]crashBlame), false
 	for _, r := range m.runs {
 		hasSuspects = hasSuspects || r.crashCount > 0 && r.canBeBlamed()
@@ -33,7 +36,7 @@
 	for k, r := range m.runs {
 		switch {
 		case !r.canBeBlamed():
-		case r.state == running && (r.crashCount > 0 || !hasSuspects) && m.wasRunningAtCrash(r):
+		case r.state == running && (r.crashCount > 0 || !hasSuspects) && m.wasRunningAtCrash(now, r):
 			blamed[k] = blameCertain
 		default:
 			blamed[k] = blamePossible
@@ -48,11 +51,19 @@
 // wasRunningAtCrash reports whether a run that the worker had accepted was still there when the
 // worker crashed. An earlier end would have been seen, unless the worker was already leaving
 // requests unanswered. In that case the run counts as present if less than half of its expected
-// time had passed when the worker last answered.
-func (m *Machine) wasRunningAtCrash(r *run) bool {
-	lastAnswerAt := m.instance.lastAnswerAt
-	wasLossy := m.lossySince < lastAnswerAt && lastAnswerAt < m.lossyUntil
-	return !wasLossy || lastAnswerAt < r.acceptedAt+r.expectedTime/2
+// time had passed when the worker last answered or, if it has left Holds unanswered since, when
+// the crash was noticed.
+func (m *Machine) wasRunningAtCrash(now time.Duration, r *run) bool {
+	inst := &m.instance
+	wasLossy := m.lossySince < inst.lastAnswerAt && inst.lastAnswerAt < m.lossyUntil
+	halfDoneAt := r.acceptedAt + r.expectedTime/2
+	switch {
+	case inst.wasSilent:
+		return cmp.Or(inst.refusedAt, now) < halfDoneAt
+	case wasLossy:
+		return inst.lastAnswerAt < halfDoneAt
+	}
+	return true
 }
 
 // reportCrash sends each entry the blamed tasks of the other entries, because a caller that gets
--- a/internal/runs/crash_test.go
+++ b/internal/runs/crash_test.go
@@ -119,6 +119,38 @@
 	}
 }
 
+// Guards against failing a job for a crash that happened after its run had ended, when the worker
+// left all Holds unanswered between the end and the crash.
+func TestRunThatMayHaveEndedDuringSilenceIsOnlySuspected(t *testing.T) {
+	crashed := func(silentFor time.Duration, answer HoldAnswer) []wire.RunEnd {
+		r := newCrashRig(t, 0)
+		r.answerStart(key(1), Done)
+		r.answerHold(testWorker, HoldAnswer{Active: []Active{{Key: key(1)}, {Key: key(2)}}})
+		r.actions()
+		r.now += silentFor
+		answer.Verdict = NoAnswer
+		r.answerHold(testWorker, answer)
+		return r.crashWorker()
+	}
+	for _, test := range []struct {
+		silentFor time.Duration
+		answer    HoldAnswer
+		certain   bool
+	}{
+		{80 * time.Millisecond, HoldAnswer{}, false},
+		{20 * time.Millisecond, HoldAnswer{}, true}, // less than half of the expected time
+		{80 * time.Millisecond, HoldAnswer{IsConnLost: true}, true},
+		{80 * time.Millisecond, HoldAnswer{IsConnLost: true, IsConnRefused: true}, true},
+	} {
+		ends := crashed(test.silentFor, test.answer)
+		qt.Assert(t, ends, qt.HasLen, 2)
+		for _, e := range ends {
+			qt.Check(t, e.Crashed, qt.Equals, test.certain, qt.Commentf("%+v", test))
+			qt.Check(t, e.Suspected, qt.Equals, !test.certain, qt.Commentf("%+v", test))
+		}
+	}
+}
+
 // Guards against a crash during a Hold that the next instance of the worker answers: the runs were
 // reported as lost without a suspect.
 func TestCrashDuringHoldIsDetected(t *testing.T) {
--- a/internal/runs/hold.go
+++ b/internal/runs/hold.go
@@ -126,7 +126,7 @@
 		}
 		m.updateClockOffset(now, a.ClockMs)
 		inst.mayHaveRestarted, inst.confirmedAt = false, inst.holdSentAt
-		inst.hasRefusedConn, inst.lastAnswerAt, inst.ackedCursor = false, now, max(inst.ackedCursor, inst.sentAck)
+		inst.refusedAt, inst.wasSilent, inst.lastAnswerAt, inst.ackedCursor = 0, false, now, max(inst.ackedCursor, inst.sentAck)
 		m.verifyTermination(now)
 		m.settleEndedRuns(now, a.Ended)
 		m.reconcile(now, a.Active)
@@ -141,7 +141,13 @@
 		inst.token = raisedToken(inst.token, inst.WorkerInstance, a.ClockMs)
 		inst.nextHoldAt = now + requestRetryDelay
 	default:
-		m.instance.hasRefusedConn = m.instance.hasRefusedConn || a.IsConnRefused
+		switch {
+		case inst.refusedAt > 0:
+		case a.IsConnRefused:
+			inst.refusedAt = now
+		case !a.IsConnLost:
+			inst.wasSilent = true
+		}
 		m.recordUnansweredHold(now)
 		if a.IsConnLost {
 			m.suspectRestart(now)
--- a/internal/runs/tick.go
+++ b/internal/runs/tick.go
@@ -37,7 +37,7 @@
 	for _, r := range m.runs {
 		r.outlastsInstance = now < m.leaseEndOf(r)
 	}
-	m.endAllRuns(now, m.instance.hasRefusedConn && m.isExitUnannounced())
+	m.endAllRuns(now, m.instance.refusedAt > 0 && m.isExitUnannounced())
 }
 
 // endAllRuns ends all runs except those that outlast the instance. It is called when the lease of
@@ -46,7 +46,7 @@
 func (m *Machine) endAllRuns(now time.Duration, hasCrashed bool) {
 	var blamed map[Key]crashBlame
 	if hasCrashed {
-		blamed = m.assignBlame()
+		blamed = m.assignBlame(now)
 		m.reportCrash(blamed)
 	}
 	for _, r := range m.sortedRuns() {
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -28,7 +28,11 @@
 	leaseSentAt      time.Duration // when a request with a lease was last sent
 	confirmedAt      time.Duration // when the last request was sent that it has certainly answered
 	isRecalled       bool          // has not reported to this guard yet, see Report.IsRecalled
-	hasRefusedConn   bool          // its address has refused a connection since the last answer
+	// refusedAt is when its address first refused a connection since the last answer, or 0.
+	refusedAt time.Duration
+	// wasSilent is set if it has left a Hold unanswered, without a refused or lost connection, since the
+	// last answer and before refusedAt.
+	wasSilent bool
 
 	hasHoldInFlight bool // a Hold is unanswered
 	holdSentAt      time.Duration
