batch: learned run times do not depend on the speed of the workers that ran the tasks

Cause: entries learn how long the tasks of a queue take from all runs alike. While long tasks go to the fast workers, the expected time becomes theirs; placement then multiplies it with the slowness of each worker, which guards learn against the same expected time. Target times became too short, and tasks were held or refused that a slow worker would have served.

Change: a run counts with the time it would have taken at the mean speed of the service's usable workers. Where all workers change at once the mean changes with them, so that a shift of the work is learned as before.

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -17,15 +17,37 @@
 	return s.Estimate
 }
 
-// recordRunTime updates the run time estimator of the job's queue.
-func (m *Machine) recordRunTime(j *job, s *step, runTime time.Duration) {
-	queue := j.spec.Queue.Name
+// recordRunTime updates the run time estimator of the job's queue with the time that the run would
+// have taken at the mean speed of its service's workers. Otherwise the expected times would follow the
+// workers that happen to run the tasks, while placement and admission apply the speeds once more.
+func (m *Machine) recordRunTime(r *activeRun, runTime time.Duration) {
+	queue := r.job.spec.Queue.Name
 	estimator := m.runTimeEstimators[queue]
 	if estimator == nil {
 		estimator = new(sched.RunTimeEstimator)
 		m.runTimeEstimators[queue] = estimator
 	}
-	estimator.Observe(s.spec.Estimate, runTime)
+	estimator.Observe(r.step.spec.Estimate, time.Duration(float64(runTime)/m.relativeSlowness(r.guard)))
+}
+
+// relativeSlowness returns how long runs take on a guard's worker relative to the mean of its service's
+// usable workers.
+func (m *Machine) relativeSlowness(g *guard) float64 {
+	if m.guards[g.position] != g {
+		return 1 // the guard has left
+	}
+	w := &m.workers[g.position]
+	sum, count := 0.0, 0
+	for i := range m.workers {
+		if other := &m.workers[i]; other.State == sched.Usable && other.Service == w.Service {
+			sum += other.RunTimeFactor()
+			count++
+		}
+	}
+	if count == 0 {
+		return 1
+	}
+	return w.RunTimeFactor() * float64(count) / sum
 }
 
 // criticalPath returns the expected length of the longest chain of steps of a job.
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -68,7 +68,7 @@
 // completeTask records a successful run and finishes its step and job if it was their last task.
 func (m *Machine) completeTask(now time.Duration, r *activeRun, e *wire.RunEnd) {
 	j, s := r.job, r.step
-	m.recordRunTime(j, s, milliseconds(e.RunMs))
+	m.recordRunTime(r, milliseconds(e.RunMs))
 	j.unfinished--
 	if s.unfinished--; s.unfinished == 0 {
 		j.releaseDependents(s.stepIndex)
--- a/internal/batch/loadrules_test.go
+++ b/internal/batch/loadrules_test.go
@@ -107,7 +107,7 @@
 // Guards against tasks that fill slow workers, where they end too late, when the fast ones are busy for a
 // moment: near the room and beyond it, that served fewer requests in time than not knowing the speeds.
 func TestLoadNearTheRoomOnWorkersOfUnlikeSpeedIsServedInTime(t *testing.T) {
-	for _, c := range []struct{ offeredLoad, missedShare float64 }{{0.6, 0.5}, {0.8, 0.75}, {1, 0.9}, {1.5, 1.05}} {
+	for _, c := range []struct{ offeredLoad, missedShare float64 }{{0.6, 0.5}, {0.8, 0.75}, {1, 0.9}, {1.25, 0.9}, {1.5, 1}} {
 		missed := func(disabled ...policy.Mechanism) float64 {
 			return 1 - mean(load{offeredLoad: c.offeredLoad, unlikeWorkers: true}.results(t, disabled...), (*loadResult).served)
 		}
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -71,6 +71,9 @@
 	IsExcluded func(index int) bool
 }
 
+// RunTimeFactor returns the run time on the worker relative to the expected one.
+func (w *WorkerView) RunTimeFactor() float64 { return cmp.Or(w.Slowness, 1) }
+
 // CanRun reports whether the worker could run the task if it were idle.
 func (w *WorkerView) CanRun(req *TaskRequest) bool {
 	if w.State == Absent || w.Service != req.Service || !w.Capacity.CanFit(req.Need) {
@@ -146,14 +149,14 @@
 func (w *WorkerView) rank(req *TaskRequest) workerRank {
 	rank := workerRank{isNearData: req.Rack != "" && w.Rack == req.Rack, isOwnDomain: w.Domain == req.Domain}
 	if w.IsTooSlow(req) {
-		rank.slowness = cmp.Or(w.Slowness, 1)
+		rank.slowness = w.RunTimeFactor()
 	}
 	return rank
 }
 
 // IsTooSlow reports whether the task is not expected to end in time on the worker.
 func (w *WorkerView) IsTooSlow(req *TaskRequest) bool {
-	return cmp.Or(w.Slowness, 1) > req.MaxSlowness
+	return w.RunTimeFactor() > req.MaxSlowness
 }
 
 // HasTimelyWorker reports whether some worker, with or without free room, may be given the task and is
