batch, batchnode: names that say what they count; one function looks entries up

No behaviour changes. entryCount and allEntries did not tell the entries of a worker from all entries; the lookup of entries in the store, its log line and what follows stood twice; the two sets of guards of a query differed by nothing that their comments said.

--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -37,13 +37,13 @@
 
 // Machine is the scheduling state of one entry. It is not safe for concurrent use.
 type Machine struct {
-	options    Options
-	rng        *rand.Rand
-	startedAt  time.Duration
-	entryCount int // entries that share one worker
-	// sharedByAll holds the services whose workers are shared by allEntries.
+	options          Options
+	rng              *rand.Rand
+	startedAt        time.Duration
+	totalEntries     int
+	entriesPerWorker int // entries that share one worker, except those of sharedByAll
+	// sharedByAll holds the services whose workers are shared by all entries.
 	sharedByAll map[string]bool
-	allEntries  int
 
 	guards    []*guard           // by position, nil where free; parallel to workers
 	workers   []sched.WorkerView // placement data of the guards' workers
@@ -75,8 +75,8 @@
 		options:           options,
 		rng:               rand.New(rand.NewPCG(options.Seed, 0)),
 		startedAt:         now,
-		entryCount:        1,
-		allEntries:        1,
+		totalEntries:      1,
+		entriesPerWorker:  1,
 		guardByID:         make(map[identity.Incarnation]*guard),
 		jobs:              make(map[string]*job),
 		activeRuns:        make(map[runs.Key]*activeRun),
@@ -101,7 +101,7 @@
 
 // SetEntries sets the number of all entries, and of those that share one worker.
 func (m *Machine) SetEntries(all, sharing int) {
-	m.allEntries, m.entryCount = max(1, all), max(1, sharing)
+	m.totalEntries, m.entriesPerWorker = max(1, all), max(1, sharing)
 }
 
 // SetSharedByAll sets the services whose workers are shared by all entries.
@@ -110,9 +110,9 @@
 // sharingEntries returns the number of entries that share one worker of a service.
 func (m *Machine) sharingEntries(service string) int {
 	if m.sharedByAll[service] {
-		return m.allEntries
+		return m.totalEntries
 	}
-	return m.entryCount
+	return m.entriesPerWorker
 }
 
 // ServiceOf returns the service of a guard's worker; empty if it has none.
@@ -163,7 +163,7 @@
 // Snapshot returns the data that admission decisions are currently based on.
 func (m *Machine) Snapshot(now time.Duration) Snapshot {
 	s := Snapshot{
-		Waiting: len(m.queue), Running: len(m.activeRuns), Workers: m.Workers(), Entries: m.entryCount,
+		Waiting: len(m.queue), Running: len(m.activeRuns), Workers: m.Workers(), Entries: m.entriesPerWorker,
 		LinkRate: m.LinkRate(), LinkBacklog: max(0, m.uplink.idleAt-now),
 	}
 	for i := range m.workers {
--- a/internal/batchnode/guardtargets.go
+++ b/internal/batchnode/guardtargets.go
@@ -165,6 +165,11 @@
 
 func (g *Guard) rediscoverEntries(ctx context.Context) {
 	pause.For(ctx, pause.Jitter(lookupInterval))
+	g.lookUpEntries(ctx)
+}
+
+// lookUpEntries adds the entries that are registered in the store.
+func (g *Guard) lookUpEntries(ctx context.Context) {
 	found, err := g.opt.Lookup(ctx)
 	if err != nil {
 		g.opt.Log.Warn("entry lookup in the store failed", "err", err)
@@ -180,11 +185,7 @@
 	interval := firstLookupInterval
 	for ctx.Err() == nil {
 		if g.linkCount() == 0 {
-			found, err := g.opt.Lookup(ctx)
-			if err != nil {
-				g.opt.Log.Warn("entry lookup in the store failed", "err", err)
-			}
-			g.AddEntries(found)
+			g.lookUpEntries(ctx)
 		}
 		pause.For(ctx, pause.Jitter(interval))
 		interval = lookupInterval
--- a/internal/batchnode/query.go
+++ b/internal/batchnode/query.go
@@ -37,9 +37,9 @@
 
 // query is one query to all other entries.
 type query struct {
-	request           wire.JobQuery // without targets
-	triedGuards       map[identity.Incarnation]bool
-	excludedGuards    map[identity.Incarnation]bool // those of earlier attempts, and those that did not reach a target
+	request           wire.JobQuery                 // without targets
+	triedGuards       map[identity.Incarnation]bool // relays of all attempts, which the next attempt avoids
+	excludedGuards    map[identity.Incarnation]bool // relays of earlier attempts, and those of this one that did not reach a target
 	repeats           int                           // how often it was sent again to entries that a guard does not reach
 	awaited           map[string]bool               // addresses of the entries that have not reported
 	unnamedReports    int                           // reports of entries of an earlier release, which do not state their address
