explain, cli: a summary of how the jobs of a period ended, from logs

Looking for the cause of a bad minute meant to read the logs of hundreds of processes: explain needs the id of a job. 'wigeontray summarize LOGS' counts complete, refused and failed jobs by reason, queue, failure domain, entry and second, the worst first, as text or JSON; lines that cannot be parsed are counted. Both commands read logs that are compressed.

Tests: explain.TestSummaryCountsOutcomes, cli.TestLogCommandsReadCompressedLogs.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,6 +47,7 @@
 	Local      localCmd      `cmd:"" help:"Run local stand-ins of a store and an upstream, to try a fleet on one machine."`
 	Keys       keysCmd       `cmd:"" help:"Generate a certificate authority and certificates for a fleet, or a member's token."`
 	Explain    explainCmd    `cmd:"" help:"Reconstruct from logs what happened to a job on the users' platform, and why."`
+	Summarize  summarizeCmd  `cmd:"" help:"Count from logs how the jobs of a period ended on the users' platform, by reason, queue, failure domain, entry and second."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
 
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"os"
 
 	"wigeontray/internal/explain"
 )
 
 type explainCmd struct {
 	ID    string   `arg:"" help:"ID of the job, or of one of its requests."`
-	Files []string `arg:"" type:"existingfile" help:"Logs of entries and guards, in the JSON format."`
+	Files []string `arg:"" type:"existingfile" help:"Logs of entries and guards, in the JSON format; those named *.gz are compressed."`
 }
 
 // Run prints the log events of a job in order and lists the events that are missing.
@@ -41,9 +40,9 @@
 // appendLog appends the lines of one file that concern id or a drain of a failure domain, and reports
 // on stderr how many of them could not be parsed.
 func appendLog(e *commandEnv, lines []explain.Line, name, id string) ([]explain.Line, error) {
-	f, err := os.Open(name)
+	f, err := openLog(name)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errUsage, err)
+		return nil, err
 	}
 	defer f.Close()
 	lines, malformed, err := explain.Read(lines, f, id)
