explain: a job that ended before any task had run counts as refused

A job that waited and was then answered as not run appeared among the failed ones of 'summarize', beside jobs whose tasks may have run. Its line says ran=no.

--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -29,8 +29,8 @@
 	// Complete is a lower bound: the lines of completed jobs are the first to be dropped when a process
 	// logs too much.
 	Complete int
-	Refused  int // not admitted, or not begun as the caller had left or another entry ran the job
-	Failed   int // ended otherwise; the tasks may have run
+	Refused  int // not admitted, not begun, or ended before any task had run
+	Failed   int // ended otherwise; tasks may have run
 }
 
 func (c *OutcomeCounts) incomplete() int { return c.Refused + c.Failed }
@@ -39,7 +39,7 @@
 	switch {
 	case o.Message == messageJobEnded && o.Outcome == outcomeComplete:
 		c.Complete++
-	case o.Message == messageJobEnded:
+	case o.Message == messageJobEnded && o.Ran != ranNo:
 		c.Failed++
 	default:
 		c.Refused++
@@ -53,6 +53,7 @@
 	messageNotBegun      = "request not begun"
 	messageEntryStarting = "entry starting"
 	outcomeComplete      = "complete"
+	ranNo                = "no"
 )
 
 // outcomeLine is a line about the outcome of a job, or about the start of an entry.
@@ -62,6 +63,7 @@
 	Node    string    `json:"node"`
 	Queue   string    `json:"queue"`
 	Outcome string    `json:"outcome"` // of job ended
+	Ran     string    `json:"ran"`     // of job ended: whether a task has run
 	Reason  string    `json:"reason"`  // of job refused
 	Cause   string    `json:"cause"`
 	Domain  string    `json:"domain"` // of entry starting
