--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -178,9 +178,7 @@
 		e.linkGuard("guard-1", 8).Close("cut")
 		time.Sleep(2 * guardLossTimeout)
 		g := e.linkGuard("guard-1", 8)
-		answer := e.submit("ayni", e.newTicket(), testSubmission)
-		e.sendResult(g, e.recvFrame(g).Start, `1`)
-		e.Assert((<-answer).Code, qt.Equals, http.StatusOK)
+		e.assertServesThrough(g)
 	})
 }
 
@@ -365,9 +363,7 @@
 		synctest.Wait()
 		close(e.router.readyGate)
 		synctest.Wait()
-		answer := e.submit("ayni", e.newTicket(), testSubmission)
-		e.sendResult(guardEnd, e.recvFrame(guardEnd).Start, `1`)
-		e.Assert((<-answer).Code, qt.Equals, http.StatusOK)
+		e.assertServesThrough(guardEnd)
 	})
 }
 
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -202,6 +202,14 @@
 	}
 }
 
+// assertServesThrough submits a job of one task and asserts that it is answered with the result of the guard.
+func (e *testEntry) assertServesThrough(guard wire.Link) {
+	e.t.Helper()
+	answer := e.submit("ayni", e.newTicket(), testSubmission)
+	e.sendResult(guard, e.recvFrame(guard).Start, `1`)
+	e.Assert((<-answer).Code, qt.Equals, http.StatusOK)
+}
+
 func (e *testEntry) sendResult(l wire.Link, st *wire.Start, body string) {
 	e.Assert(l.Send(&wire.Frame{Result: &wire.Result{
 		Ref: st.Ref, Ran: errkind.RanYes, Status: 200, Body: []byte(body),
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -39,9 +39,7 @@
 		e.sendResult(g, st, `1`)
 		e.Assert((<-first).Code, qt.Equals, http.StatusOK)
 		synctest.Wait() // the other waiting requests are answered as well
-		next := e.submit("ayni", e.newTicket(), testSubmission)
-		e.sendResult(g, e.recvFrame(g).Start, `1`)
-		e.Assert((<-next).Code, qt.Equals, http.StatusOK)
+		e.assertServesThrough(g)
 	})
 }
 
--- a/internal/entry/verify_test.go
+++ b/internal/entry/verify_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"testing"
 	"testing/synctest"
 
@@ -46,9 +45,7 @@
 		w := <-e.submit("ayni", e.newTicket(), testSubmission)
 		e.Assert(decodeJob(e, w.Body.Bytes()).Error.Kind, qt.Equals, errkind.NoWorkers.String())
 		own := e.linkGuardOf("ayni/reserva", "guard-3", "ayni-key", 8)
-		answer := e.submit("ayni", e.newTicket(), testSubmission)
-		e.sendResult(own, e.recvFrame(own).Start, `1`)
-		e.Assert((<-answer).Code, qt.Equals, http.StatusOK)
+		e.assertServesThrough(own)
 	})
 }
 
