--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -72,15 +72,15 @@
 	return broken
 }
 
-// chainJob has steps that run one after the other, a task of 0.9 s each.
-func chainJob(steps int) string {
+// chainJob has steps that run one after the other, a task of the given time in milliseconds each.
+func chainJob(steps, ms int) string {
 	var b strings.Builder
-	b.WriteString(`{"spec":"900","best_effort":true,"steps":[`)
+	fmt.Fprintf(&b, `{"spec":"%d","best_effort":true,"steps":[`, ms)
 	for i := range steps {
 		if i > 0 {
 			b.WriteString(",")
 		}
-		b.WriteString(`{"count":1,"cpu":3100,"mem_mb":256,"est_runtime_ms":900`)
+		fmt.Fprintf(&b, `{"count":1,"cpu":3100,"mem_mb":256,"est_runtime_ms":%d`, ms)
 		if i > 0 {
 			fmt.Fprintf(&b, `,"after":[%d]`, i-1)
 		}
@@ -115,7 +115,7 @@
 	if !trouble {
 		time.Sleep(time.Second) // it has read the list of entries
 	}
-	posted := f.callLater(at, http.MethodPost, id, chainJob(14), limit)
+	posted := f.callLater(at, http.MethodPost, id, chainJob(14, 900), limit)
 	time.Sleep(time.Second)
 	if len(rec.startsOf(id)) == 0 {
 		return nil, errors.New("the job has not started")
--- a/review/standin/cases_freeze.go
+++ b/review/standin/cases_freeze.go
@@ -27,7 +27,7 @@
 		})
 	}
 	time.Sleep(500 * time.Millisecond)
-	posted := f.callLater(e, http.MethodPost, id, chainJob(14), limit)
+	posted := f.callLater(e, http.MethodPost, id, chainJob(14, 900), limit)
 	time.Sleep(500 * time.Millisecond)
 	cancelled := f.call(e, http.MethodDelete, id, "", 5*time.Second)
 	if cancelled.status != http.StatusOK && cancelled.status != http.StatusGone {
--- a/review/standin/cases_route.go
+++ b/review/standin/cases_route.go
@@ -50,7 +50,7 @@
 	return broken, nil
 }
 
-// spreadJob has four tasks, of which one may run on each worker.
+// spreadJob has six tasks, of which one may run on each worker.
 const spreadJob = `{"spec":"900","best_effort":true,"steps":[{"count":6,"cpu":3100,"mem_mb":256,"est_runtime_ms":900,"max_per_server":1}]}`
 
 // resetPerHost resets the channels of an entry while a job with max_per_server runs.
