--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 	"lone-entry":     loneEntry,
 	"other-kind":     otherKind,
 	"reset-per-host": resetPerHost,
+	"foreign-report": foreignReport,
 	"frozen-entry":   frozenEntry,
 	"cut-body":       cutBody,
 }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -62,6 +62,7 @@
 	seq        int64
 	changed    chan struct{}
 	isDown     bool
+	isDraining bool
 }
 
 func newWorker(rec *record, name, kind, host string) (*worker, error) {
@@ -124,13 +125,39 @@
 		return
 	}
 	w.seq++
-	id := w.id
-	body, err := json.Marshal(map[string]any{
-		"service": serviceName, "addr": w.listener.Addr().String(), "zone": zoneName, "version": "v1", "slots": 8, "state": "ready",
+	id, fields := w.id, w.reportFields(w.seq)
+	w.mu.Unlock()
+	w.sendReport(id, fields)
+}
+
+// reportFields returns the fields of a report. mu must be held.
+func (w *worker) reportFields(seq int64) map[string]any {
+	state := "ready"
+	if w.isDraining {
+		state = "draining"
+	}
+	return map[string]any{
+		"service": serviceName, "addr": w.listener.Addr().String(), "zone": zoneName, "version": "v1", "slots": 8, "state": state,
 		"cold_left_ms": 0, "capacity": map[string]int{"cpu": 16000, "mem_mb": 32768, "gpu": 0}, "labels": []string{w.kind, "r1-" + w.name},
-		"clock_ms": w.clock(), "seq": w.seq,
-	})
+		"clock_ms": w.clock(), "seq": seq,
+	}
+}
+
+// drain reports that the worker is draining, and reports whether that was acknowledged.
+func (w *worker) drain() bool {
+	w.mu.Lock()
+	w.isDraining = true
+	w.seq++
+	id, fields := w.id, w.reportFields(w.seq)
 	w.mu.Unlock()
+	status := w.sendReport(id, fields)
+	w.rec.add("worker %s reports draining, the answer is %d", id, status)
+	return status == http.StatusOK
+}
+
+// sendReport sends a report to the guard and returns the status of the answer, 0 for none.
+func (w *worker) sendReport(id string, fields map[string]any) int {
+	body, err := json.Marshal(fields)
 	if err != nil {
 		panic(err) // a plain map
 	}
@@ -140,9 +167,12 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	client := http.Client{Timeout: time.Second}
-	if res, err := client.Do(req); err == nil {
-		res.Body.Close()
+	res, err := client.Do(req)
+	if err != nil {
+		return 0
 	}
+	res.Body.Close()
+	return res.StatusCode
 }
 
 type workerRequest struct {
