batch, batchnode: a cancellation binds requests that arrive later

Cause: an admission looked only for jobs that were queued, running, complete or failed. Cancelled fell through to a new admission, since a job whose caller had lost its connection was kept as cancelled too, and that caller may submit it again. And no entry but the one that ran the job kept anything of the cancel.

Change: a job whose caller has left is withdrawn, without a final state. A request for a recorded ID is answered as cancelled. Guards tell entries that link later (frame CancelledJobs).

TestLateRunEndOfAnEarlierSubmissionIsIgnored cancelled its job to submit it again, which a caller can no longer do. The case that it guards against is a caller that has left, so it calls Withdraw in place of Cancel; its checks are unchanged.

--- a/internal/batch/admit_test.go
+++ b/internal/batch/admit_test.go
@@ -43,8 +43,8 @@
 	qt.Assert(t, err.After > 0, qt.IsTrue)
 }
 
-// Guards against a task started at a second worker while it runs. A job is cancelled and
-// resubmitted to the same entry; the guard's report that the first run was not started arrives
+// Guards against a task started at a second worker while it runs. A job's caller leaves and
+// resubmits it to the same entry; the guard's report that the first run was not started arrives
 // only then, and must not be applied to the second run.
 func TestLateRunEndOfAnEarlierSubmissionIsIgnored(t *testing.T) {
 	m := newOneWorkerMachine()
@@ -58,7 +58,7 @@
 	}
 	qt.Assert(t, m.Submit(0, testJob("job", 1, 4000)) == nil, qt.IsTrue)
 	first := nextRun()
-	m.Cancel(0, "job")
+	m.Withdraw(0, "job")
 	qt.Assert(t, m.Submit(0, testJob("job", 1, 4000)) == nil, qt.IsTrue)
 	second := nextRun()
 	qt.Assert(t, second > first, qt.IsTrue)
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -54,6 +54,7 @@
 	activeRuns        map[runs.Key]*activeRun
 	runTimeEstimators map[string]*sched.RunTimeEstimator // by queue
 	endedJobs         *endedJobs
+	cancelledJobs     CancelledJobs // also of jobs that this entry has not received
 	crashes           *crashCounts
 	seq               uint64
 	recentPriorities  map[string]recentPriority // by service
@@ -204,10 +205,14 @@
 	return Queued
 }
 
-// Submit admits a job or refuses it with a final error. The outcome of an admitted job is
-// returned as a Finish action. A job that has been admitted and not answered must not be
-// submitted again.
+// Submit admits a job or refuses it with a final error, which is Cancelled if the job was cancelled
+// before. The outcome of an admitted job is returned as a Finish action. A job that has been admitted
+// and not answered must not be submitted again.
 func (m *Machine) Submit(now time.Duration, spec *Job) *errkind.Error {
+	if m.wasCancelled(now, spec.ID) {
+		m.endedJobs.add(spec.ID, Cancelled, m.endedJobs.maxRun(spec.ID))
+		return errkind.New(errkind.Cancelled, "the job was cancelled before this request arrived").WithRan(errkind.RanUnknown)
+	}
 	m.recordPriority(now, spec.Queue)
 	m.recordAsked(now, spec)
 	criticalPath := m.criticalPath(spec)
@@ -230,15 +235,36 @@
 	return nil
 }
 
-// Cancel withdraws a job and reports whether it was found.
-func (m *Machine) Cancel(now time.Duration, id string) bool {
+// Cancel stops a job and records its ID, so that a request for it that arrives later starts nothing. It
+// returns the state of the job, which is Unknown if this entry has not received it, and reports whether
+// the ID was recorded.
+func (m *Machine) Cancel(now time.Duration, id string) (s State, isRecorded bool) {
+	isRecorded = m.cancelledJobs.Add(now, id)
+	m.stopJob(now, id, errkind.New(errkind.Cancelled, "the caller cancelled the job"))
+	return m.State(id), isRecorded
+}
+
+// Withdraw stops a job whose callers have left. They may submit it again, at any entry.
+func (m *Machine) Withdraw(now time.Duration, id string) {
+	if j := m.stopJob(now, id, errkind.New(errkind.Cancelled, "the caller has left")); j != nil {
+		m.endedJobs.add(id, Unknown, j.maxRun())
+	}
+}
+
+// stopJob answers an unanswered job with an error and returns it; nil if there is none.
+func (m *Machine) stopJob(now time.Duration, id string, err *errkind.Error) *job {
 	j := m.jobs[id]
 	if j == nil {
-		return false
+		return nil
 	}
-	m.failJob(now, j, errkind.New(errkind.Cancelled, "the caller cancelled the job"))
+	m.failJob(now, j, err)
 	m.dispatchWaiting(now)
-	return true
+	return j
+}
+
+// wasCancelled reports whether a job was cancelled, at this entry or at another.
+func (m *Machine) wasCancelled(now time.Duration, id string) bool {
+	return m.endedJobs.state(id) == Cancelled || m.cancelledJobs.Has(now, id)
 }
 
 // enqueue adds a job with waiting tasks to the queue, unless it is there already.
--- a/internal/batch/simcaller_test.go
+++ b/internal/batch/simcaller_test.go
@@ -59,7 +59,7 @@
 		if !isDone { // the caller leaves and resubmits the job
 			isDone = true
 			if !e.hasExited {
-				e.handle(func() { e.step(func() { e.m.Cancel(s.now, j.id) }) })
+				e.handle(func() { e.step(func() { e.m.Withdraw(s.now, j.id) }) })
 			}
 			resubmit()
 		}
--- a/internal/batchnode/entryjobs.go
+++ b/internal/batchnode/entryjobs.go
@@ -49,8 +49,8 @@
 }
 
 // Submit runs a job and returns its outcome. timeout is how long the caller waits. If the
-// job is already queued or running, the request joins it; if it is complete or has failed
-// permanently, the same outcome is returned again. A job whose request may have been delayed
+// job is already queued or running, the request joins it; if it is complete, has failed
+// permanently or was cancelled, the same outcome is returned again. A job whose request may have been delayed
 // (HeldUp) is refused if another entry runs it. If ctx ends first, Submit returns nil and
 // the job is cancelled, unless another request waits for it.
 func (e *Entry) Submit(ctx context.Context, job *batch.Job, timeout time.Duration) *batch.Outcome {
@@ -115,14 +115,19 @@
 	})
 	if refused != nil {
 		delete(e.waiters, job.ID)
-		e.recordRefusal(w.startedAt, job, refused, &inputs)
+		if refused.Kind == errkind.Cancelled {
+			e.opt.Metrics.Inc(telemetry.JobsResubmitted)
+			e.logNotStarted(job, refused.Detail)
+		} else {
+			e.recordRefusal(w.startedAt, job, refused, &inputs)
+		}
 		return nil, &batch.Outcome{ID: job.ID, Err: refused}
 	}
 	e.opt.Metrics.Inc(telemetry.JobsAccepted)
 	return w, nil
 }
 
-// abandon removes a waiter from a job, and cancels the job if it was the last one.
+// abandon removes a waiter from a job, and withdraws the job if it was the last one.
 func (e *Entry) abandon(id string, w *waiter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -137,13 +142,7 @@
 		return
 	}
 	delete(e.waiters, id)
-	e.stepLocked(func(now time.Duration, m *batch.Machine) { m.Cancel(now, id) })
-}
-
-// Cancel cancels a job and reports whether it was queued or running at this entry.
-func (e *Entry) Cancel(id string) (found bool) {
-	e.step(func(now time.Duration, m *batch.Machine) { found = m.Cancel(now, id) })
-	return found
+	e.stepLocked(func(now time.Duration, m *batch.Machine) { m.Withdraw(now, id) })
 }
 
 // State returns the state of a job at this entry.
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -146,6 +146,8 @@
 		e.handleCrashRelay(hello.Incarnation, f.CrashRelay)
 	case f.JobQuery != nil:
 		e.answerQuery(hello.Incarnation, f.JobQuery)
+	case f.CancelledJobs != nil:
+		e.cancelJobs(f.CancelledJobs.Jobs)
 	case f.JobReport != nil:
 		e.handleReport(hello.Incarnation, f.JobReport)
 	default:
--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"wigeontray/internal/batch"
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/policy"
@@ -72,6 +73,7 @@
 	hasReport           bool                     // the worker has sent a report to this process
 	unsavedReport       chan *runs.Report        // holds at most one
 	lastQueuedReport    *runs.Report             // last report that was saved or is in unsavedReport
+	cancelledJobs       batch.CancelledJobs      // whose cancellations were relayed
 	crashSeq            uint64                   // crashes of the worker that were relayed
 	lastRejected        wire.WorkerInstance      // of the last report that was passed over
 	isDrainComplete     bool                     // the worker is drained and its last run has ended
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -182,6 +182,9 @@
 		w := m.Worker()
 		_ = l.link.Send(&wire.Frame{GuardHeartbeat: &wire.GuardHeartbeat{Load: m.Load(now, l.entry), Worker: &w}}) // see execute
 		m.SetRetiring(now, l.entry, g.isRetiring(l.address))
+		if ids := g.cancelledJobs.IDs(now); len(ids) > 0 {
+			_ = l.link.Send(&wire.Frame{CancelledJobs: &wire.CancelledJobs{Jobs: ids}}) // see execute
+		}
 	})
 	g.syncConfig(l)
 }
--- a/internal/batchnode/guardtargets_test.go
+++ b/internal/batchnode/guardtargets_test.go
@@ -146,7 +146,7 @@
 		f := newLargeFleet(t, 90, 40)
 		defer f.stop()
 		asked := f.entryOutside(f.guards[0])
-		state, certain := asked.Query(f.ctx, "1", false)
+		state, certain := asked.Query(f.ctx, "1")
 		qt.Check(t, state, qt.Equals, batch.Unknown)
 		qt.Check(t, certain, qt.IsTrue)
 		for i := 0; i < 90; i += 10 {
@@ -156,9 +156,9 @@
 			}
 			go home.Submit(f.ctx, longJob(id), time.Minute)
 			time.Sleep(100 * time.Millisecond)
-			state, _ = asked.Query(f.ctx, id, false)
+			state, _ = asked.Query(f.ctx, id)
 			qt.Check(t, state, qt.Equals, batch.Running, qt.Commentf("at %s", f.addresses[i]))
-			state, _ = asked.Query(f.ctx, id, true)
+			state, _ = asked.Cancel(f.ctx, id)
 			qt.Check(t, state, qt.Equals, batch.Cancelled, qt.Commentf("at %s", f.addresses[i]))
 		}
 	})
@@ -171,7 +171,7 @@
 		defer f.stop()
 		f.kill("entry-007")
 		time.Sleep(time.Second)
-		_, certain := f.entries["entry-008"].Query(f.ctx, "1", false)
+		_, certain := f.entries["entry-008"].Query(f.ctx, "1")
 		qt.Check(t, certain, qt.IsFalse)
 	})
 }
@@ -278,8 +278,8 @@
 		f.setEntries(f.addresses...)
 		time.Sleep(100 * time.Millisecond)
 		for i := range 5 {
-			_, certain := f.entries[f.addresses[i]].queryOthers(f.ctx, "1", false, make(map[identity.Incarnation]bool))
-			qt.Check(t, certain, qt.IsTrue, qt.Commentf("asked at %s", f.addresses[i]))
+			result := f.entries[f.addresses[i]].queryOthers(f.ctx, &wire.JobQuery{Job: "1"}, make(map[identity.Incarnation]bool))
+			qt.Check(t, result.isCertain, qt.IsTrue, qt.Commentf("asked at %s", f.addresses[i]))
 		}
 	})
 }
--- a/internal/batchnode/query.go
+++ b/internal/batchnode/query.go
@@ -14,6 +14,10 @@
 // Entries have no links to each other. A caller may send a query or a cancellation for its job
 // to any of them; an entry that does not run the job asks the others through guards, which
 // relay the query and the reports.
+//
+// A cancellation goes to all entries even if the first one has the job, and each of them records it: a
+// copy of the job's request may arrive later at any of them. A guard that has relayed it tells the
+// entries that link to it afterwards, as they may have started or been unreachable meanwhile.
 
 // Timing of queries.
 const (
@@ -43,6 +47,7 @@
 	repeats           int                           // how often it was sent again to entries that a guard does not reach
 	awaited           map[string]bool               // addresses of the entries that have not reported
 	unnamedReports    int                           // reports of entries of an earlier release, which do not state their address
+	confirmedRelays   int                           // guards that have reported to how many entries they have relayed the query
 	unconfirmedRelays int                           // guards that have not reported to how many entries they have relayed the query
 	relayedTo         int                           // entries to which the other guards have relayed it
 	receivedReports   int
@@ -65,6 +70,7 @@
 func (q *query) addReport(r *wire.JobReport) {
 	if r.QueriedEntries != nil {
 		q.unconfirmedRelays--
+		q.confirmedRelays++
 		q.relayedTo += *r.QueriedEntries
 		return
 	}
@@ -86,13 +92,16 @@
 // isCertain reports whether all other entries have answered.
 func (q *query) isCertain() bool { return len(q.awaited) <= q.unnamedReports && q.hasAllReports() }
 
-// Query returns the state of a job at this entry or at any other. If cancelJob is set, the job is
-// cancelled where it is queued or running. If the result is not certain, an entry that did not
-// answer may run the job.
-func (e *Entry) Query(ctx context.Context, id string, cancelJob bool) (s batch.State, certain bool) {
-	if cancelJob && e.Cancel(id) {
-		return batch.Cancelled, true
-	}
+// queryResult is the result of one query to all other entries.
+type queryResult struct {
+	state     batch.State // Unknown unless an entry has reported the job
+	isRelayed bool        // a guard has relayed the query to the entries that it links to
+	isCertain bool        // all other entries have reported
+}
+
+// Query returns the state of a job at this entry or at any other. If the result is not certain, an
+// entry that did not answer may run the job.
+func (e *Entry) Query(ctx context.Context, id string) (s batch.State, certain bool) {
 	if s := e.State(id); s != batch.Unknown {
 		return s, true
 	}
@@ -101,12 +110,54 @@
 	}
 	triedGuards := make(map[identity.Incarnation]bool)
 	for range maxQueryAttempts {
-		s, certain = e.queryOthers(ctx, id, cancelJob, triedGuards)
-		if certain || !cancelJob && s != batch.Unknown {
-			return s, true
+		result := e.queryOthers(ctx, &wire.JobQuery{Job: id}, triedGuards)
+		if result.isCertain || result.state != batch.Unknown {
+			return result.state, true
+		}
+	}
+	return batch.Unknown, false
+}
+
+// Cancel cancels a job at this entry and at all others, and returns its state. No entry starts a
+// request for it that arrives later. If the result is not certain, the cancellation must not be
+// acknowledged: an entry that did not answer may run the job.
+//
+// If this entry has received the job itself, it is enough that a guard has relayed the cancellation:
+// entries that did not answer learn it from that guard when they link to it again.
+func (e *Entry) Cancel(ctx context.Context, id string) (s batch.State, certain bool) {
+	var stateHere batch.State
+	var isRecorded bool
+	e.step(func(now time.Duration, m *batch.Machine) { stateHere, isRecorded = m.Cancel(now, id) })
+	if !isRecorded {
+		e.opt.Log.Warn("cancellation not recorded; too many others are", "job", id)
+	}
+	if e.isOnlyEntry() {
+		return stateHere, isRecorded
+	}
+	isRelayed := false
+	triedGuards := make(map[identity.Incarnation]bool)
+	for range maxQueryAttempts {
+		result := e.queryOthers(ctx, &wire.JobQuery{Job: id, Cancel: true}, triedGuards)
+		isRelayed = isRelayed || result.isRelayed
+		s, certain = max(s, result.state), result.isCertain
+		if certain {
+			break
 		}
 	}
-	return s, false
+	if stateHere != batch.Unknown {
+		return stateHere, isRecorded && isRelayed
+	}
+	return s, isRecorded && certain
+}
+
+// cancelJobs records cancellations that a guard has relayed to other entries before it linked to this
+// one. mu must be held.
+func (e *Entry) cancelJobs(ids []string) {
+	e.stepLocked(func(now time.Duration, m *batch.Machine) {
+		for _, id := range ids {
+			m.Cancel(now, id)
+		}
+	})
 }
 
 // runsElsewhere reports whether another entry answers that a job is queued or running there.
@@ -116,7 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, heldUpQueryTimeout)
 	defer cancel()
-	s, _ := e.queryOthers(ctx, id, false, make(map[identity.Incarnation]bool))
+	s := e.queryOthers(ctx, &wire.JobQuery{Job: id}, make(map[identity.Incarnation]bool)).state
 	return s == batch.Queued || s == batch.Running
 }
 
@@ -127,14 +178,15 @@
 	return len(e.known.addresses) == 1
 }
 
-// queryOthers queries all other entries through guards that are not in triedGuards, and adds these
-// there.
-func (e *Entry) queryOthers(ctx context.Context, id string, cancelJob bool, triedGuards map[identity.Incarnation]bool) (batch.State, bool) {
+// queryOthers sends a request to all other entries through guards that are not in triedGuards, and adds
+// these there.
+func (e *Entry) queryOthers(ctx context.Context, request *wire.JobQuery, triedGuards map[identity.Incarnation]bool) queryResult {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	e.mu.Lock()
 	others := withoutKnown(e.known.addresses, []string{e.opt.Address})
-	q := e.queries.begin(wire.JobQuery{From: e.id, Job: id, Cancel: cancelJob}, others, triedGuards)
+	request.From = e.id
+	q := e.queries.begin(*request, others, triedGuards)
 	e.sendQuery(q, others)
 	e.mu.Unlock()
 	select {
@@ -144,7 +196,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.queries.pending, q.request.Seq)
-	return q.state, q.isCertain()
+	return queryResult{state: q.state, isRelayed: q.confirmedRelays > 0, isCertain: q.isCertain()}
 }
 
 // sendQuery sends a query to the entries with the given addresses. mu must be held.
@@ -185,10 +237,12 @@
 // answerQuery answers the query of another entry through the guard that relayed it. mu must be
 // held.
 func (e *Entry) answerQuery(guard identity.Incarnation, q *wire.JobQuery) {
-	s := e.machine.State(q.Job)
-	if q.Cancel && (s == batch.Queued || s == batch.Running) {
-		e.stepLocked(func(now time.Duration, m *batch.Machine) { m.Cancel(now, q.Job) })
-		s = batch.Cancelled
+	s, isRecorded := e.machine.State(q.Job), true
+	if q.Cancel {
+		e.stepLocked(func(now time.Duration, m *batch.Machine) { s, isRecorded = m.Cancel(now, q.Job) })
+	}
+	if !isRecorded {
+		return // without the report, the cancellation is not acknowledged
 	}
 	e.sendToGuard(guard, &wire.Frame{JobReport: &wire.JobReport{Seq: q.Seq, To: q.From, State: int(s), Address: e.opt.Address}})
 }
@@ -196,6 +250,9 @@
 // relayQuery relays the query of an entry to its targets, or to all other entries, and reports their
 // number and the targets without a link to it. mu must be held.
 func (g *Guard) relayQuery(from *guardLink, q *wire.JobQuery) {
+	if q.Cancel && !g.cancelledJobs.Add(g.opt.Clock(), q.Job) {
+		return // without the report, the cancellation is not acknowledged
+	}
 	relayed, targets, unreached := 0, q.Targets, slices.Clone(q.Targets)
 	q.Targets = nil
 	for name, l := range g.links {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -68,6 +68,7 @@
 	Drains         *Drains         `cbor:"35,keyasint,omitempty"`
 	WorkerCrash    *WorkerCrash    `cbor:"36,keyasint,omitempty"`
 	CrashRelay     *CrashRelay     `cbor:"37,keyasint,omitempty"`
+	CancelledJobs  *CancelledJobs  `cbor:"38,keyasint,omitempty"`
 }
 
 // Hello opens a link from a guard to an entry and describes the guard's upstream.
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -280,6 +280,12 @@
 	Targets []string `cbor:"5,keyasint,omitempty"`
 }
 
+// CancelledJobs tells an entry that links to a guard which jobs were cancelled recently, by the JobQuery
+// frames that the guard has relayed. The entry may have started, or been unreachable, since.
+type CancelledJobs struct {
+	Jobs []string `cbor:"1,keyasint"`
+}
+
 // JobReport is the response to a JobQuery. The guard relays it to the entry To.
 type JobReport struct {
 	Seq            uint64               `cbor:"1,keyasint"`
