batchnode: an entry without the list of entries denies no job

Cause: an entry that knew no address but its own took itself for the only one and answered without asking. Two states look like that: the store lists one entry, or the list was never read. A failed read was not logged, so that logs could not tell them apart; it is now.

Change: the shortcut is gone; queries, cancels and the check of delayed requests always go through a guard. The result is certain only with a list of entries and a relay that has answered. When a read of the list fails, the entry asks a guard for the addresses that it knows (Entries with Ask; guards of an earlier build do not answer, and such an entry stays at 503). It then divides its workers by the true number of entries, too.

--- a/internal/batchnode/announce.go
+++ b/internal/batchnode/announce.go
@@ -17,17 +17,45 @@
 // them is no longer listed.
 const announcersPerGuard = 3
 
-// SetEntries stores the addresses of all entries, to which it adds its own, and sends the guards
+// SetEntries stores the addresses of all entries, as the store lists them.
+func (e *Entry) SetEntries(addresses []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asksNextGuard = false
+	e.setEntriesLocked(addresses)
+}
+
+// RequestEntries asks a guard for the addresses of all entries, because the store does not list them. An
+// entry without a guard asks the next one that links to it.
+func (e *Entry) RequestEntries() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for guard := range e.links {
+		e.requestEntriesFrom(guard)
+		return
+	}
+	e.asksNextGuard = true
+}
+
+func (e *Entry) requestEntriesFrom(guard identity.Incarnation) {
+	e.sendToGuard(guard, &wire.Frame{Entries: &wire.Entries{LinkAll: e.linksToAll(guard), Ask: true}})
+}
+
+// addEntries adds addresses that a guard knows. Only the store can tell that an entry has ended.
+func (e *Entry) addEntries(addresses []string) {
+	e.setEntriesLocked(slices.Concat(e.known.addresses, addresses))
+}
+
+// setEntriesLocked stores the addresses of all entries, to which it adds its own, and sends the guards
 // those that they have to know in addition. Duplicate addresses are removed: a restarted entry is
 // listed twice until its earlier registration expires.
-func (e *Entry) SetEntries(addresses []string) {
+func (e *Entry) setEntriesLocked(addresses []string) {
+	e.hasEntryList = true
 	if !slices.Contains(addresses, e.opt.Address) {
 		addresses = append(addresses, e.opt.Address)
 	}
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	if slices.Equal(addresses, e.known.addresses) {
 		return
 	}
--- a/internal/batchnode/entry.go
+++ b/internal/batchnode/entry.go
@@ -49,6 +49,8 @@
 	waiters        map[string][]*waiter
 	acceptSlots    chan struct{} // one element for each link that is being accepted
 	known          addressList   // addresses of all entries, this one included
+	hasEntryList   bool          // known was read from the store, or received from a guard
+	asksNextGuard  bool          // known is requested from the next guard that links
 	smallServices  smallServices
 	relayedCrashes []relayedCrash // latest, oldest first
 	queries        queries
--- a/internal/batchnode/entrylink.go
+++ b/internal/batchnode/entrylink.go
@@ -97,6 +97,10 @@
 	}})
 	drains := e.drains.known
 	e.sendToGuard(hello.Incarnation, &wire.Frame{Drains: &drains}) // must precede the first task
+	if e.asksNextGuard {
+		e.asksNextGuard = false
+		e.requestEntriesFrom(hello.Incarnation)
+	}
 	e.stepLocked(func(now time.Duration, m *batch.Machine) { m.AddGuard(now, hello) })
 }
 
@@ -146,6 +150,8 @@
 		e.handleCrashRelay(hello.Incarnation, f.CrashRelay)
 	case f.JobQuery != nil:
 		e.answerQuery(hello.Incarnation, f.JobQuery)
+	case f.Entries != nil:
+		e.addEntries(f.Entries.Addresses)
 	case f.CancelledJobs != nil:
 		e.cancelJobs(f.CancelledJobs.Jobs)
 	case f.JobReport != nil:
--- a/internal/batchnode/guardlink.go
+++ b/internal/batchnode/guardlink.go
@@ -220,6 +220,9 @@
 	case f.Entries != nil:
 		l.linkAll = f.Entries.LinkAll
 		g.addEntriesLocked(f.Entries.Addresses)
+		if f.Entries.Ask {
+			_ = l.link.Send(&wire.Frame{Entries: &wire.Entries{Addresses: g.known.addresses}}) // see execute
+		}
 	case f.RunTasks != nil:
 		g.opt.RoutineLog.Info("tasks taken", "job", f.RunTasks.Job, "request", f.RunTasks.Request, "entry", l.entry, "tasks", len(f.RunTasks.Tasks),
 			"age", g.opt.Clock()-time.Duration(f.RunTasks.ClockMs)*time.Millisecond, "left", time.Duration(f.RunTasks.LeftMs)*time.Millisecond)
--- a/internal/batchnode/query.go
+++ b/internal/batchnode/query.go
@@ -45,6 +45,7 @@
 	triedGuards       map[identity.Incarnation]bool // relays of all attempts, which the next attempt avoids
 	excludedGuards    map[identity.Incarnation]bool // relays of earlier attempts, and those of this one that did not reach a target
 	repeats           int                           // how often it was sent again to entries that a guard does not reach
+	hasEntryList      bool                          // awaited was computed from a list of all entries
 	awaited           map[string]bool               // addresses of the entries that have not reported
 	unnamedReports    int                           // reports of entries of an earlier release, which do not state their address
 	confirmedRelays   int                           // guards that have reported to how many entries they have relayed the query
@@ -89,8 +90,12 @@
 	return q.unconfirmedRelays == 0 && q.receivedReports == q.relayedTo
 }
 
-// isCertain reports whether all other entries have answered.
-func (q *query) isCertain() bool { return len(q.awaited) <= q.unnamedReports && q.hasAllReports() }
+// isCertain reports whether all other entries have answered. A list of entries that is complete is no proof
+// on its own: an entry that the store turns away is not in it. At least one guard must therefore have relayed
+// the query to all entries that link to it.
+func (q *query) isCertain() bool {
+	return q.hasEntryList && q.confirmedRelays > 0 && len(q.awaited) <= q.unnamedReports && q.hasAllReports()
+}
 
 // queryResult is the result of one query to all other entries.
 type queryResult struct {
@@ -105,9 +110,6 @@
 	if s := e.State(id); s != batch.Unknown {
 		return s, true
 	}
-	if e.isOnlyEntry() {
-		return batch.Unknown, true
-	}
 	triedGuards := make(map[identity.Incarnation]bool)
 	for range maxQueryAttempts {
 		result := e.queryOthers(ctx, &wire.JobQuery{Job: id}, triedGuards)
@@ -129,10 +131,7 @@
 	var isRecorded bool
 	e.step(func(now time.Duration, m *batch.Machine) { stateHere, isRecorded = m.Cancel(now, id) })
 	if !isRecorded {
-		e.opt.Log.Warn("cancellation not recorded; too many others are", "job", id)
-	}
-	if e.isOnlyEntry() {
-		return stateHere, isRecorded
+		e.opt.Log.Warn("cancellation not recorded", "job", id)
 	}
 	isRelayed := false
 	triedGuards := make(map[identity.Incarnation]bool)
@@ -162,22 +161,12 @@
 
 // runsElsewhere reports whether another entry answers that a job is queued or running there.
 func (e *Entry) runsElsewhere(ctx context.Context, id string) bool {
-	if e.isOnlyEntry() {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, heldUpQueryTimeout)
 	defer cancel()
 	s := e.queryOthers(ctx, &wire.JobQuery{Job: id}, make(map[identity.Incarnation]bool)).state
 	return s == batch.Queued || s == batch.Running
 }
 
-// isOnlyEntry reports whether no other entry is known.
-func (e *Entry) isOnlyEntry() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.known.addresses) == 1
-}
-
 // queryOthers sends a request to all other entries through guards that are not in triedGuards, and adds
 // these there.
 func (e *Entry) queryOthers(ctx context.Context, request *wire.JobQuery, triedGuards map[identity.Incarnation]bool) queryResult {
@@ -187,11 +176,15 @@
 	others := withoutKnown(e.known.addresses, []string{e.opt.Address})
 	request.From = e.id
 	q := e.queries.begin(*request, others, triedGuards)
+	q.hasEntryList = e.hasEntryList
 	e.sendQuery(q, others)
+	isSent := q.unconfirmedRelays > 0
 	e.mu.Unlock()
-	select {
-	case <-q.done:
-	case <-ctx.Done():
+	if isSent {
+		select {
+		case <-q.done:
+		case <-ctx.Done():
+		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/batchnode/upkeep.go
+++ b/internal/batchnode/upkeep.go
@@ -137,6 +137,8 @@
 	Log      *log.Logger
 	Metrics  *telemetry.Registry
 	Recovery *StoreRecovery // cuts waits short; may be nil
+	// Fallback is called by Keep whenever the store does not list the entries; may be nil.
+	Fallback func()
 
 	mu          sync.Mutex
 	skippedKeys map[string]bool // keys with invalid values, each of which is logged once
@@ -189,6 +191,14 @@
 	l.Log.Warn("listed entry passed over", "key", key, "err", err)
 }
 
+// reportUnread logs that the store has not listed the entries, and calls Fallback.
+func (l *Listing) reportUnread(err error) {
+	l.Log.Warn("list of entries not read", "err", err)
+	if l.Fallback != nil {
+		l.Fallback()
+	}
+}
+
 // Keep reads the list of entries until ctx ends and passes each list to update. A read that fails
 // or returns no entries leaves the previous list in place: the state of the store alone is no
 // proof that an entry has terminated.
@@ -202,8 +212,11 @@
 	var backoff storeBackoff
 	for ctx.Err() == nil {
 		addresses, err := l.Addresses(ctx)
-		if err == nil && len(addresses) > 0 {
+		switch {
+		case err == nil && len(addresses) > 0:
 			update(slices.Clone(addresses))
+		case ctx.Err() == nil:
+			l.reportUnread(err)
 		}
 		delay := backoff.next(err)
 		if err == nil && len(addresses) > 0 && slices.Equal(addresses, previous) {
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -259,12 +259,16 @@
 	Targets []string `cbor:"4,keyasint,omitempty"`
 }
 
-// Entries lists the entry addresses that the sender has learned.
+// Entries lists the entry addresses that the sender has learned. Entries send them to guards, and a guard
+// to an entry that asks for them.
 type Entries struct {
 	Addresses []string `cbor:"1,keyasint"`
 	// LinkAll asks a guard of the entry's choice to link to all entries, as its service has few
 	// guards. Only the announcers of a guard send it.
 	LinkAll bool `cbor:"2,keyasint,omitempty"`
+	// Ask is set by an entry that cannot read the list of entries from the store: the guard answers with the
+	// addresses that it knows.
+	Ask bool `cbor:"3,keyasint,omitempty"`
 }
 
 // JobQuery asks other entries for a job. A guard relays it, since entries have no links to each
