batchnode: the test of a changed list of entries expects each guard's own number of links

Cause, in the test: a guard whose subset still holds the replaced entry dials it in vain for a minute and has 63 links. Names of guards are random. About four fifths of the guards have the entry in their subset, so that now and then all 20 of them do, and no guard has 64.

--- a/internal/batchnode/guardtargets_test.go
+++ b/internal/batchnode/guardtargets_test.go
@@ -104,8 +104,13 @@
 		f.setEntries(f.addresses...)
 		time.Sleep(3 * time.Second)
 		ofGuards, _ := f.linkCounts()
-		qt.Check(t, slices.Min(ofGuards) >= entriesPerGuard-1, qt.IsTrue, qt.Commentf("%v", ofGuards)) // the replaced one may come back
-		qt.Check(t, slices.Max(ofGuards), qt.Equals, entriesPerGuard)
+		for i, g := range f.guards {
+			want := entriesPerGuard
+			if slices.Contains(g.known.subsetFor(g.id), "entry-000") {
+				want-- // dialed for a while, as it may come back
+			}
+			qt.Check(t, ofGuards[i], qt.Equals, want)
+		}
 		qt.Check(t, replacement.Status().Guards > 4, qt.IsTrue, qt.Commentf("%d", replacement.Status().Guards)) // 16 on average
 	})
 }
