platform, httpserve: a submission whose body was not read is never answered 200

Cause: callerAPI.submit returned without a response when it could not read the body, and net/http then sends an empty 200. The caller may still be there: the time limit for the body has passed, the caller has ended its sending direction, or a chunk is malformed.

The handlers of the product's interface, of records and of reports answered read errors already.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -53,7 +53,7 @@
 
 func newServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config, l Limits) *Server {
 	ln = &onceListener{Listener: ln}
-	h = recordAnswers(withBodyTimeout(h, l.BodyTimeout))
+	h = recordAnswers(requireResponse(withBodyTimeout(h, l.BodyTimeout)))
 	if l.MaxConnections > 0 {
 		limited := &limitListener{Listener: ln, slots: make(chan struct{}, l.MaxConnections), closed: make(chan struct{})}
 		ln, h = limited, limited.closeNearLimit(h)
