--- a/internal/batchnode/upkeep.go
+++ b/internal/batchnode/upkeep.go
@@ -191,9 +191,11 @@
 	l.Log.Warn("listed entry passed over", "key", key, "err", err)
 }
 
-// reportUnread logs that the store has not listed the entries, and calls Fallback.
+// reportUnread calls Fallback after a read that has failed with err or, if err is nil, has listed nothing.
 func (l *Listing) reportUnread(err error) {
-	l.Log.Warn("list of entries not read", "err", err)
+	if err != nil {
+		l.Log.Warn("list of entries not read", "err", err)
+	}
 	if l.Fallback != nil {
 		l.Fallback()
 	}
