--- a/internal/batchnode/cancel_random_test.go
+++ b/internal/batchnode/cancel_random_test.go
@@ -31,34 +31,33 @@
 	acknowledged, copies := 0, 0
 	for seed := *cancelFrom; seed < *cancelFrom+*cancelSeeds; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			p := newCancelPlay(t, seed)
-			defer p.stop()
-			p.run()
-			qt.Check(t, p.violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
-			acknowledged, copies = acknowledged+p.acknowledged, copies+p.lateCopies
+			s := newCancelScenario(t, seed)
+			defer s.stop()
+			s.run()
+			qt.Check(t, s.violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+			acknowledged, copies = acknowledged+s.acknowledged, copies+s.lateCopies
 		})
 	}
 	qt.Check(t, acknowledged > int(*cancelSeeds), qt.IsTrue, qt.Commentf("%d cancellations were acknowledged", acknowledged))
 	qt.Check(t, copies > int(*cancelSeeds), qt.IsTrue, qt.Commentf("%d late copies", copies))
 }
 
-// Times of a cancelPlay.
+// Times of a cancelScenario.
 const (
-	cancelAllowance   = 3 * time.Second // from the acknowledgement of a cancellation to the last start
-	inTouchAfter      = 3 * time.Second // from the end of an entry's last fault until the rule holds for it
-	cancelFaultPeriod = 6 * time.Second
-	cancelPlayJobs    = 10
-	cancelPlayFaults  = 6
-	stepTime          = 200 * time.Millisecond
-	startDelay        = 100 * time.Millisecond // from an entry's decision to the start at the worker, at most
+	cancelAllowance = 3 * time.Second // from the acknowledgement of a cancellation to the last start
+	stableAfter     = 3 * time.Second // from the end of an entry's last fault until the rule holds for it
+	scenarioPeriod  = 6 * time.Second
+	scenarioJobs    = 10
+	scenarioFaults  = 6
+	stepTime        = 200 * time.Millisecond
+	startDelay      = 100 * time.Millisecond // from an entry's decision to the start at the worker, at most
 )
 
-// cancelPlay plays random requests, cancellations and faults in a fleet of three entries and three guards.
-type cancelPlay struct {
+// cancelScenario runs random requests, cancellations and faults in a fleet of three entries and three guards.
+type cancelScenario struct {
 	*fleet
 	rng       *rand.Rand
 	addresses []string
-	workers   []*worker
 
 	mu           sync.Mutex
 	links        map[string][]wire.Link              // guards' ends, by address of the entry
@@ -71,51 +70,50 @@
 	lateCopies   int // requests for a job whose cancellation has been acknowledged
 }
 
-func newCancelPlay(t *testing.T, seed uint64) *cancelPlay {
-	p := &cancelPlay{
+func newCancelScenario(t *testing.T, seed uint64) *cancelScenario {
+	s := &cancelScenario{
 		fleet: newFleet(t), rng: rand.New(rand.NewPCG(seed, 0)), addresses: []string{"a", "b", "c"},
 		links: make(map[string][]wire.Link), unreachable: make(map[string]bool), faultyUntil: make(map[string]time.Time),
 		open: make(map[string]map[string]*openRequests), cancelledAt: make(map[string]time.Time),
 	}
-	for _, address := range p.addresses {
-		p.entry(address)
+	for _, address := range s.addresses {
+		s.entry(address)
 	}
-	p.wrapLink = func(l wire.Link, address string) wire.Link {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.links[address] = append(p.links[address], l)
+	s.wrapLink = func(l wire.Link, address string) wire.Link {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.links[address] = append(s.links[address], l)
 		return l
 	}
 	for range 3 {
-		w := newWorker(p.fleet, stepTime)
-		p.workers = append(p.workers, w)
-		p.guardWith(GuardOptions{Name: "guard", Entries: p.addresses, Worker: &observedWorker{worker: w, play: p}, Dial: p.dialReachable}).HandleReport(w.report())
+		w := newWorker(s.fleet, stepTime)
+		s.guardWith(GuardOptions{Name: "guard", Entries: s.addresses, Worker: &observedWorker{worker: w, scenario: s}, Dial: s.dialReachable}).HandleReport(w.report())
 	}
 	time.Sleep(time.Second)
-	p.setEntries(p.addresses...)
-	return p
+	s.setEntries(s.addresses...)
+	return s
 }
 
 // dialReachable is dial, except that unreachable entries do not answer.
-func (p *cancelPlay) dialReachable(ctx context.Context, address string) (wire.Link, error) {
-	p.mu.Lock()
-	isUnreachable := p.unreachable[address]
-	p.mu.Unlock()
+func (s *cancelScenario) dialReachable(ctx context.Context, address string) (wire.Link, error) {
+	s.mu.Lock()
+	isUnreachable := s.unreachable[address]
+	s.mu.Unlock()
 	if isUnreachable {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return p.dial(ctx, address)
+	return s.dial(ctx, address)
 }
 
-// observedWorker passes each start to the play.
+// observedWorker passes each start to the scenario.
 type observedWorker struct {
 	*worker
-	play *cancelPlay
+	scenario *cancelScenario
 }
 
 func (w *observedWorker) Start(ctx context.Context, s *runs.Start) runs.StartAnswer {
-	w.play.checkStart(s.Key)
+	w.scenario.checkStart(s.Key)
 	return w.worker.Start(ctx, s)
 }
 
@@ -129,72 +127,72 @@
 func (r *openRequests) mayStart() bool { return r.waiting > 0 || time.Since(r.endedAt) < startDelay }
 
 // checkStart checks that a task may start. The entry that starts it is one of those that have, or just had,
-// an open request for the job; the rule holds for it once it has had no fault for inTouchAfter.
-func (p *cancelPlay) checkStart(k runs.Key) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	since, isCancelled := p.cancelledAt[k.Job]
+// an open request for the job; the rule holds for it once it has had no fault for stableAfter.
+func (s *cancelScenario) checkStart(k runs.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since, isCancelled := s.cancelledAt[k.Job]
 	if !isCancelled || time.Since(since) <= cancelAllowance {
 		return
 	}
-	for address, requests := range p.open[k.Job] {
-		if requests.mayStart() && time.Since(p.faultyUntil[address]) < inTouchAfter {
+	for address, requests := range s.open[k.Job] {
+		if requests.mayStart() && time.Since(s.faultyUntil[address]) < stableAfter {
 			return
 		}
 	}
-	p.violations = append(p.violations, fmt.Sprintf("%v: step %d of job %s starts %v after its cancellation was acknowledged",
-		time.Since(p.startedAt), k.Step, k.Job, time.Since(since)))
+	s.violations = append(s.violations, fmt.Sprintf("%v: step %d of job %s starts %v after its cancellation was acknowledged",
+		time.Since(s.startedAt), k.Step, k.Job, time.Since(since)))
 }
 
-// run plays all events, and returns when the last request has been answered.
-func (p *cancelPlay) run() {
+// run runs all events, and returns when the last request has been answered.
+func (s *cancelScenario) run() {
 	var events sync.WaitGroup
 	at := func(limit time.Duration, do func()) {
-		delay := time.Duration(p.rng.Int64N(int64(limit)))
+		delay := time.Duration(s.rng.Int64N(int64(limit)))
 		events.Go(func() {
 			time.Sleep(delay)
 			do()
 		})
 	}
-	for i := range cancelPlayJobs {
+	for i := range scenarioJobs {
 		id := fmt.Sprint("job-", i)
 		var requests []func()
-		for range 1 + p.rng.IntN(3) {
-			address, pause := p.drawAddress(), time.Duration(p.rng.Int64N(int64(cancelFaultPeriod)))
+		for range 1 + s.rng.IntN(3) {
+			address, pause := s.drawAddress(), time.Duration(s.rng.Int64N(int64(scenarioPeriod)))
 			requests = append(requests, func() {
-				p.submit(address, id)
+				s.submit(address, id)
 				time.Sleep(pause)
 			})
 		}
-		at(cancelFaultPeriod, func() {
+		at(scenarioPeriod, func() {
 			for _, send := range requests { // a copy follows the answer to the request before
 				send()
 			}
 		})
-		for range 1 + p.rng.IntN(2) {
-			address := p.drawAddress()
-			at(cancelFaultPeriod, func() { p.cancel(address, id) })
+		for range 1 + s.rng.IntN(2) {
+			address := s.drawAddress()
+			at(scenarioPeriod, func() { s.cancel(address, id) })
 		}
 	}
-	for range cancelPlayFaults {
-		inject := p.drawFault()
-		at(cancelFaultPeriod, inject)
+	for range scenarioFaults {
+		inject := s.drawFault()
+		at(scenarioPeriod, inject)
 	}
 	events.Wait()
 }
 
-func (p *cancelPlay) drawAddress() string { return p.addresses[p.rng.IntN(len(p.addresses))] }
+func (s *cancelScenario) drawAddress() string { return s.addresses[s.rng.IntN(len(s.addresses))] }
 
 // current returns the entry that runs at an address; nil if none does.
-func (p *cancelPlay) current(address string) *Entry {
-	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
-	return p.entries[address]
+func (s *cancelScenario) current(address string) *Entry {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.entries[address]
 }
 
 // submit sends a request for a job of four steps, one after the other.
-func (p *cancelPlay) submit(address, id string) {
-	e := p.current(address)
+func (s *cancelScenario) submit(address, id string) {
+	e := s.current(address)
 	if e == nil {
 		return
 	}
@@ -203,120 +201,120 @@
 		job.Steps = append(job.Steps, batch.Step{Count: 1, Need: sched.Resources{CPU: 2000}, Estimate: stepTime, After: []int{i}})
 	}
 	job.Steps[0].Estimate = stepTime
-	p.beginRequest(id, address)
-	defer p.endRequest(id, address)
-	ctx, leave := context.WithTimeout(p.ctx, 3*time.Second)
+	s.beginRequest(id, address)
+	defer s.endRequest(id, address)
+	ctx, leave := context.WithTimeout(s.ctx, 3*time.Second)
 	defer leave()
 	e.Submit(ctx, job, 3*time.Second)
 }
 
-func (p *cancelPlay) beginRequest(id, address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open[id] == nil {
-		p.open[id] = make(map[string]*openRequests)
+func (s *cancelScenario) beginRequest(id, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[id] == nil {
+		s.open[id] = make(map[string]*openRequests)
 	}
-	if p.open[id][address] == nil {
-		p.open[id][address] = new(openRequests)
+	if s.open[id][address] == nil {
+		s.open[id][address] = new(openRequests)
 	}
-	p.open[id][address].waiting++
-	if _, isCancelled := p.cancelledAt[id]; isCancelled {
-		p.lateCopies++
+	s.open[id][address].waiting++
+	if _, isCancelled := s.cancelledAt[id]; isCancelled {
+		s.lateCopies++
 	}
 }
 
-func (p *cancelPlay) endRequest(id, address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open[id][address].waiting--
-	p.open[id][address].endedAt = time.Now()
+func (s *cancelScenario) endRequest(id, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[id][address].waiting--
+	s.open[id][address].endedAt = time.Now()
 }
 
 // cancel sends a cancellation. A killed entry acknowledges nothing.
-func (p *cancelPlay) cancel(address, id string) {
-	e := p.current(address)
+func (s *cancelScenario) cancel(address, id string) {
+	e := s.current(address)
 	if e == nil {
 		return
 	}
-	_, certain := e.Cancel(p.ctx, id)
-	if !certain || p.current(address) != e {
+	_, certain := e.Cancel(s.ctx, id)
+	if !certain || s.current(address) != e {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.acknowledged++
-	if _, isCancelled := p.cancelledAt[id]; !isCancelled {
-		p.cancelledAt[id] = time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acknowledged++
+	if _, isCancelled := s.cancelledAt[id]; !isCancelled {
+		s.cancelledAt[id] = time.Now()
 	}
 }
 
 // drawFault draws a fault of one entry.
-func (p *cancelPlay) drawFault() func() {
-	address, duration := p.drawAddress(), time.Duration(p.rng.Int64N(int64(3*time.Second)))
-	readsList := p.rng.IntN(2) == 0
-	switch p.rng.IntN(4) {
+func (s *cancelScenario) drawFault() func() {
+	address, duration := s.drawAddress(), time.Duration(s.rng.Int64N(int64(3*time.Second)))
+	readsList := s.rng.IntN(2) == 0
+	switch s.rng.IntN(4) {
 	case 0:
-		return func() { p.restart(address, duration, readsList) }
+		return func() { s.restart(address, duration, readsList) }
 	case 1:
-		return func() { p.partition(address, duration) }
+		return func() { s.partition(address, duration) }
 	case 2:
 		return func() {
-			p.markFaulty(time.Now(), address)
-			p.closeLinks(address)
+			s.markFaulty(time.Now(), address)
+			s.closeLinks(address)
 		}
 	}
 	return func() {
-		p.markFaulty(time.Now(), p.addresses...)
-		p.freeze(duration)
+		s.markFaulty(time.Now(), s.addresses...)
+		s.freeze(duration)
 	}
 }
 
 // markFaulty records that entries have a fault until the given time.
-func (p *cancelPlay) markFaulty(until time.Time, addresses ...string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (s *cancelScenario) markFaulty(until time.Time, addresses ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, address := range addresses {
-		if until.After(p.faultyUntil[address]) {
-			p.faultyUntil[address] = until
+		if until.After(s.faultyUntil[address]) {
+			s.faultyUntil[address] = until
 		}
 	}
 }
 
 // restart kills an entry and starts it again after the downtime. Unless it reads the list of entries, the
 // store turns the new process away.
-func (p *cancelPlay) restart(address string, downtime time.Duration, readsList bool) {
-	if p.current(address) == nil {
+func (s *cancelScenario) restart(address string, downtime time.Duration, readsList bool) {
+	if s.current(address) == nil {
 		return // down already
 	}
-	p.markFaulty(time.Now().Add(downtime), address)
-	p.kill(address)
+	s.markFaulty(time.Now().Add(downtime), address)
+	s.kill(address)
 	time.Sleep(downtime)
-	e := p.entry(address)
+	e := s.entry(address)
 	if readsList {
-		e.SetEntries(slices.Clone(p.addresses))
+		e.SetEntries(slices.Clone(s.addresses))
 	} else {
 		e.RequestEntries()
 	}
 }
 
 // partition cuts an entry off from the guards.
-func (p *cancelPlay) partition(address string, duration time.Duration) {
-	p.markFaulty(time.Now().Add(duration), address)
-	p.mu.Lock()
-	p.unreachable[address] = true
-	p.mu.Unlock()
-	p.closeLinks(address)
+func (s *cancelScenario) partition(address string, duration time.Duration) {
+	s.markFaulty(time.Now().Add(duration), address)
+	s.mu.Lock()
+	s.unreachable[address] = true
+	s.mu.Unlock()
+	s.closeLinks(address)
 	time.Sleep(duration)
-	p.mu.Lock()
-	p.unreachable[address] = false
-	p.mu.Unlock()
+	s.mu.Lock()
+	s.unreachable[address] = false
+	s.mu.Unlock()
 }
 
-func (p *cancelPlay) closeLinks(address string) {
-	p.mu.Lock()
-	links := p.links[address]
-	p.links[address] = nil
-	p.mu.Unlock()
+func (s *cancelScenario) closeLinks(address string) {
+	s.mu.Lock()
+	links := s.links[address]
+	s.links[address] = nil
+	s.mu.Unlock()
 	for _, l := range links {
 		l.Close("fault")
 	}
--- a/internal/batchnode/entrylist_test.go
+++ b/internal/batchnode/entrylist_test.go
@@ -120,15 +120,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, a, b, w := newUnlistedFleet(t)
 		defer f.stop()
-		go a.Submit(f.ctx, testJob("1", 1), 9*time.Second)
-		time.Sleep(100 * time.Millisecond)
-		delayedJob := testJob("1", 1)
-		delayedJob.HeldUp = true
-		ctx, cancel := context.WithTimeout(f.ctx, time.Second)
-		defer cancel()
-		out := b.Submit(ctx, delayedJob, 9*time.Second)
-		f.Assert(out, qt.IsNotNil)
-		f.Check(out.Err.Kind, qt.Equals, errkind.OutcomeUnknown)
-		f.Check(w.running(), qt.Equals, 1)
+		f.checkDelayedRequestIsRefused(a, b, w)
 	})
 }
--- a/internal/batchnode/query_test.go
+++ b/internal/batchnode/query_test.go
@@ -1,6 +1,7 @@
 package batchnode
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,20 +93,29 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, a, b, w := newTwoEntryFleet(t)
 		defer f.stop()
-		go a.Submit(f.ctx, testJob("1", 1), 9*time.Second)
-		time.Sleep(100 * time.Millisecond)
-		delayedJob := testJob("1", 1)
-		delayedJob.HeldUp = true
-		began := time.Now()
-		out := b.Submit(f.ctx, delayedJob, 9*time.Second)
-		f.Assert(out, qt.IsNotNil)
-		f.Check(out.Err.Kind, qt.Equals, errkind.OutcomeUnknown)
-		f.Check(out.Err.Ran, qt.Equals, errkind.RanUnknown)
-		f.Check(time.Since(began) < 20*time.Millisecond, qt.IsTrue)
-		f.Check(w.running(), qt.Equals, 1)
+		f.checkDelayedRequestIsRefused(a, b, w)
 	})
 }
 
+// checkDelayedRequestIsRefused runs a job at entry a, and checks that entry b soon refuses a delayed
+// request for it.
+func (f *fleet) checkDelayedRequestIsRefused(a, b *Entry, w *worker) {
+	f.Helper()
+	go a.Submit(f.ctx, testJob("1", 1), 9*time.Second)
+	time.Sleep(100 * time.Millisecond)
+	delayedJob := testJob("1", 1)
+	delayedJob.HeldUp = true
+	began := time.Now()
+	ctx, leave := context.WithTimeout(f.ctx, time.Second)
+	defer leave()
+	out := b.Submit(ctx, delayedJob, 9*time.Second)
+	f.Assert(out, qt.IsNotNil)
+	f.Check(out.Err.Kind, qt.Equals, errkind.OutcomeUnknown)
+	f.Check(out.Err.Ran, qt.Equals, errkind.RanUnknown)
+	f.Check(time.Since(began) < 20*time.Millisecond, qt.IsTrue)
+	f.Check(w.running(), qt.Equals, 1)
+}
+
 // Guards against a long delay for the first requests after a silence of all callers when another
 // entry is unreachable.
 func TestDelayedRequestStartsSoonWhileEntryIsUnreachable(t *testing.T) {
