--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -76,6 +76,8 @@
 	slots          map[string]int    // by worker; 0 for the default
 	region         string
 	service        string // service of the workers
+	entrySettings  string // further sections of the settings of entries
+	descriptors    int    // most that a process may open; 0 for the limit of the test process
 }
 
 type entryProcess struct {
@@ -171,7 +173,7 @@
 
 func (f *fleet) startProcess(binary string, args ...string) *process {
 	log := new(proctest.Buffer)
-	started, err := proctest.Start(log, nil, filepath.Join(binaries, binary), args...)
+	started, err := proctest.StartWithDescriptors(f.descriptors, log, nil, filepath.Join(binaries, binary), args...)
 	f.Assert(err, qt.IsNil)
 	p := &process{Process: started, log: log}
 	f.t.Cleanup(func() {
@@ -213,7 +215,7 @@
 %s
 [log]
 format = json
-`, name, f.region, strings.Join(peers, ","), f.kvURL, f.fleetKey, f.tls(f.certDir, tlsconf.EntryCertFile, tlsconf.EntryKeyFile))
+%s`, name, f.region, strings.Join(peers, ","), f.kvURL, f.fleetKey, f.tls(f.certDir, tlsconf.EntryCertFile, tlsconf.EntryKeyFile), f.entrySettings)
 	e := &entryProcess{process: f.startProcess("wigeontray", "serve", "--config", f.file(name+".ini", ini)), rootCAs: f.rootCAs()}
 	f.eventually("entry "+name+" logs its addresses", e.parseAddresses)
 	f.entries[name] = e
--- a/internal/proctest/proctest.go
+++ b/internal/proctest/proctest.go
@@ -49,6 +49,16 @@
 	return p, nil
 }
 
+// StartWithDescriptors is Start with a limit on the open descriptors of the process; 0 for that of the test
+// process.
+func StartWithDescriptors(limit int, out io.Writer, env []string, binary string, args ...string) (*Process, error) {
+	if limit == 0 {
+		return Start(out, env, binary, args...)
+	}
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, limit)
+	return Start(out, env, "/bin/sh", append([]string{"-c", script, binary}, args...)...)
+}
+
 // Signal sends a signal. For SIGSTOP it returns after every thread has stopped.
 func (p *Process) Signal(sig syscall.Signal) {
 	_ = p.cmd.Process.Signal(sig) // fails only if the process has already exited
