Refuse lists that are too long before they are decoded

What callers saw: an entry that ended for want of memory after some bodies of legal size.

Cause: encoding/json allocates a list before anything can count it. An empty step is 3 bytes of text and takes 170, a task of the product's interface 2 bytes and 32; the limits of 256 steps and 500 tasks were checked afterwards.

The elements of a list are counted in its text first, which allocates nothing. Refusals are the same as before: 400, and too_many_tasks.

--- a/internal/entry/submission.go
+++ b/internal/entry/submission.go
@@ -16,6 +16,7 @@
 	"wigeontray/internal/dispatch"
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/jobs"
+	"wigeontray/internal/jsonlist"
 )
 
 // MaxTasks is the largest number of tasks in a job, as given by the product's
@@ -40,9 +41,9 @@
 	// DeclaredMs is the caller's estimate of a task's run time, in milliseconds.
 	DeclaredMs int64 `json:"declared_ms"`
 	// Resources that each task needs; 0 uses the value from the records.
-	Accelerators int               `json:"accelerators"`
-	MemoryMB     int               `json:"memory_mb"`
-	Tasks        []json.RawMessage `json:"tasks"`
+	Accelerators int      `json:"accelerators"`
+	MemoryMB     int      `json:"memory_mb"`
+	Tasks        taskList `json:"tasks"`
 }
 
 // parseSubmission decodes a submission and makes the checks that do not depend on
@@ -52,6 +53,9 @@
 	d.DisallowUnknownFields()
 	s := new(submission)
 	if err := d.Decode(s); err != nil {
+		if tooLong, ok := errors.AsType[*jsonlist.TooLongError](err); ok {
+			return nil, errkind.New(errkind.TooManyTasks, "%d tasks, at most %d", tooLong.Count, tooLong.Most)
+		}
 		return nil, errkind.New(errkind.BadRequest, "body: %w", err)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
@@ -66,8 +70,6 @@
 		return nil, errkind.New(errkind.BadRequest, "want either service or job")
 	case len(s.Tasks) == 0:
 		return nil, errkind.New(errkind.BadRequest, "no tasks")
-	case len(s.Tasks) > MaxTasks:
-		return nil, errkind.New(errkind.TooManyTasks, "%d tasks, at most %d", len(s.Tasks), MaxTasks)
 	case s.DeadlineMs < 0 || s.DeclaredMs < 0:
 		return nil, errkind.New(errkind.BadRequest, "negative time")
 	case s.Accelerators < 0 || s.MemoryMB < 0:
@@ -125,6 +127,14 @@
 	return b, nil
 }
 
+// taskList is a list of at most MaxTasks tasks. A longer one is refused before it takes memory.
+type taskList []json.RawMessage
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *taskList) UnmarshalJSON(b []byte) error {
+	return jsonlist.Unmarshal(b, (*[]json.RawMessage)(l), MaxTasks)
+}
+
 // maxWait is used when the caller sets no limit on the wait; jobs end earlier by
 // their own deadlines.
 const maxWait = time.Hour
