batchnode: a guard sends at most 64 starts and stops at once

What callers saw: nothing yet; a guard takes more memory than its machine has when jobs of thousands of tasks that fit together come to it.

Cause: a goroutine, a timer and a request for each start and stop. All but eight of them wait for a connection to the worker.

Starts and stops wait in a queue, in order; 64 goroutines make them.

--- a/internal/batchnode/guard.go
+++ b/internal/batchnode/guard.go
@@ -78,6 +78,7 @@
 	lastRejected        wire.WorkerInstance      // of the last report that was passed over
 	isDrainComplete     bool                     // the worker is drained and its last run has ended
 	offerLog            offerLog
+	workerCalls         callQueue // starts and stops
 	goroutines          sync.WaitGroup
 }
 
@@ -157,9 +158,9 @@
 		go g.fetchText(action.Fetch)
 	case action.Start != nil:
 		g.opt.Metrics.Inc(telemetry.TasksStarted)
-		go g.startRun(action.Start)
+		g.startRun(action.Start)
 	case action.Stop != nil:
-		go g.stopRun(action.Stop)
+		g.stopRun(action.Stop)
 	case action.Hold != nil:
 		go g.renewLease(action.Hold)
 	case action.Send != nil:
@@ -215,20 +216,26 @@
 }
 
 func (g *Guard) startRun(s *runs.Start) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout)
-	defer cancel()
-	answer := g.opt.Worker.Start(ctx, s)
-	if answer.Verdict != runs.Done {
-		g.opt.Log.Info("start not taken", "job", s.Key.Job, "step", s.Key.Step, "task", s.Key.Index, "run", s.Key.Run, "verdict", answer.Verdict)
-	}
-	g.step(func(now time.Duration, m *runs.Machine) { m.HandleStartAnswer(now, s.Key, answer) })
+	deadline := time.Now().Add(s.Timeout)
+	g.workerCalls.add(func() {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		answer := g.opt.Worker.Start(ctx, s)
+		if answer.Verdict != runs.Done {
+			g.opt.Log.Info("start not taken", "job", s.Key.Job, "step", s.Key.Step, "task", s.Key.Index, "run", s.Key.Run, "verdict", answer.Verdict)
+		}
+		g.step(func(now time.Duration, m *runs.Machine) { m.HandleStartAnswer(now, s.Key, answer) })
+	})
 }
 
 func (g *Guard) stopRun(s *runs.Stop) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout)
-	defer cancel()
-	v, clockMs := g.opt.Worker.Stop(ctx, s)
-	g.step(func(now time.Duration, m *runs.Machine) { m.HandleStopAnswer(now, s.Key, v, clockMs) })
+	deadline := time.Now().Add(s.Timeout)
+	g.workerCalls.add(func() {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		v, clockMs := g.opt.Worker.Stop(ctx, s)
+		g.step(func(now time.Duration, m *runs.Machine) { m.HandleStopAnswer(now, s.Key, v, clockMs) })
+	})
 }
 
 func (g *Guard) renewLease(h *runs.Hold) {
