guard: the admin address has the limits of the other listeners

Its server limited the time and size of a header, but neither connections nor the time of a body. It is an httpserve.Server now, of at most 64 connections. The address is a loopback one; found by reading, no case shows it.

--- a/internal/guard/admin.go
+++ b/internal/guard/admin.go
@@ -3,20 +3,20 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
-)
 
-// Limits of the admin HTTP server.
-const (
-	adminHeaderTimeout   = 5 * time.Second
-	adminShutdownTimeout = time.Second
-	adminMaxHeaderBytes  = 16 << 10
+	"wigeontray/internal/httpserve"
 )
 
+// adminShutdownTimeout limits the stop of the admin HTTP server.
+const adminShutdownTimeout = time.Second
+
+// adminMaxConnections is the limit on connections to the admin HTTP server.
+const adminMaxConnections = 64
+
 // AdminHandler returns the handler of the admin endpoints, which are served on
 // loopback:
 //
@@ -61,7 +61,7 @@
 // listenAdmin listens on Options.Admin, or returns nil if that is empty. Only
 // loopback addresses are allowed, because every client of the admin endpoints
 // can drain the worker.
-func (g *Guard) listenAdmin() (net.Listener, error) {
+func (g *Guard) listenAdmin() (*httpserve.Server, error) {
 	if g.opt.Admin == "" {
 		return nil, nil
 	}
@@ -72,20 +72,21 @@
 	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
 		return nil, fmt.Errorf("admin address %q: want a loopback IP address", g.opt.Admin)
 	}
-	listener, err := net.Listen("tcp", g.opt.Admin)
+	limits := httpserve.DefaultLimits()
+	limits.MaxConnections = adminMaxConnections
+	srv, err := httpserve.Listen(g.opt.Admin, g.AdminHandler(), nil, limits)
 	if err != nil {
 		return nil, fmt.Errorf("admin address: %w", err)
 	}
-	return listener, nil
+	return srv, nil
 }
 
-func (g *Guard) serveAdmin(ctx context.Context, listener net.Listener) {
-	if listener == nil {
+func (g *Guard) serveAdmin(ctx context.Context, srv *httpserve.Server) {
+	if srv == nil {
 		return
 	}
-	srv := &http.Server{Handler: g.AdminHandler(), ReadHeaderTimeout: adminHeaderTimeout, MaxHeaderBytes: adminMaxHeaderBytes}
 	g.wg.Go(func() {
-		if err := srv.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(); err != nil {
 			g.opt.Logger.Error("admin HTTP server failed", "err", err)
 		}
 	})
@@ -93,6 +94,6 @@
 		<-ctx.Done()
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), adminShutdownTimeout)
 		defer cancel()
-		_ = srv.Shutdown(shutdownCtx)
+		_ = srv.Stop(shutdownCtx)
 	})
 }
