Charge what clients send to one budget, and close waiting connections for new ones

What callers saw: a process ended for want of memory while some clients sent many bodies of legal size and stopped short of their end; at the limit on connections ordinary callers waited for up to a minute.

Cause: the size of one body was limited, all of them together were not; neither were the fields of headers (twenty times their text), the state of jobs with thousands of tasks, or the bytes in the kernel's buffers. The limits on connections of all listeners, 7,500, exceeded the descriptors of a machine (4,100) and its memory. A connection at the limit was closed by its timeout only, and one whose client read no response never.

- proclimit divides the memory and the descriptors of a process among its listeners, within the limits there were.
- membudget holds one budget for all listeners, an eighth of the memory: headers, bodies, their decoded form and jobs are charged beyond 16 KiB for each connection.
When it is used up, requests that arrive slowly yield first, then larger ones, then the one that grows.
They are refused with 503 and Retry-After as not begun, or closed within the header.
- At the limit on connections one that waits for its client is closed for the next.
What a client does not receive in time closes its connection.
The sizes of the kernel's buffers are set, and so is that of the listen queue.
- Settings: descriptors, response_timeout_ms.
The entry logs its limits; four new metrics.

Ordinary requests need nothing of the budget, and a single one of the largest size is served (TestLargestSubmissionIsServedInCalm; bodies are limited to what the budget holds).

The trailer of a chunked body is dropped once it is read.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -108,6 +108,10 @@
 		s.refuse(w, key.Text, withRanUnknown(refusal))
 		return
 	}
+	if err := httpserve.Reserve(r, int64(len(body))); err != nil { // for what it is decoded to
+		s.refuse(w, key.Text, withRanUnknown(errOverMemory(err)))
+		return
+	}
 	w.Header().Set("Location", "/v1/jobs/"+key.Text)
 	s.serveRequest(w, r, &request{op: wire.OpSubmit, member: member, key: key, wait: parsePrefer(r), body: body})
 }
--- a/internal/entry/submission.go
+++ b/internal/entry/submission.go
@@ -15,6 +15,7 @@
 
 	"wigeontray/internal/dispatch"
 	"wigeontray/internal/errkind"
+	"wigeontray/internal/httpserve"
 	"wigeontray/internal/jobs"
 	"wigeontray/internal/jsonlist"
 )
@@ -116,17 +117,24 @@
 
 // readBody reads a request body of at most limit bytes.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *errkind.Error) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	b, err := httpserve.ReadBody(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	case errors.Is(err, httpserve.ErrNoMemory):
+		return nil, errOverMemory(err)
 	case err != nil:
 		return nil, errkind.New(errkind.BadRequest, "body: %w", err)
 	}
 	return b, nil
 }
 
+// errOverMemory returns the refusal of a request that does not fit into the memory for requests.
+func errOverMemory(err error) *errkind.Error {
+	return errkind.New(errkind.TooManyJobs, "%w", err).WithAfter(usageRetryDelay)
+}
+
 // taskList is a list of at most MaxTasks tasks. A longer one is refused before it takes memory.
 type taskList []json.RawMessage
 
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -28,9 +28,7 @@
 
 // onStateChange implements http.Server.ConnState.
 func (t *connTracker) onStateChange(c net.Conn, state http.ConnState) {
-	if l := asLimitedConn(c); l != nil && state == http.StateIdle {
-		l.hasUnansweredBytes.Store(false)
-	}
+	c.(*limitedConn).onStateChange(state)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if state == http.StateHijacked || state == http.StateClosed {
@@ -69,11 +67,8 @@
 }
 
 func isUnused(c net.Conn, state http.ConnState) bool {
-	l := asLimitedConn(c)
-	switch {
-	case l == nil:
-		return true
-	case state == http.StateNew && time.Since(l.acceptedAt) < newConnGracePeriod:
+	l := c.(*limitedConn)
+	if state == http.StateNew && time.Since(l.acceptedAt) < newConnGracePeriod {
 		return false
 	}
 	return !l.hasUnansweredBytes.Load() && !hasUnreadBytes(l.Conn)
@@ -103,40 +98,6 @@
 	return l.err
 }
 
-// limitedConn is a connection accepted by a limitListener.
-type limitedConn struct {
-	net.Conn
-	acceptedAt         time.Time
-	hasUnansweredBytes atomic.Bool // bytes have been received since the last response
-	releaseOnce        sync.Once
-	release            func()
-}
-
-// Read implements net.Conn.
-func (c *limitedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.hasUnansweredBytes.Store(true)
-	}
-	return n, err
-}
-
-// Close implements net.Conn. The first call frees a slot for another connection.
-func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
-	c.releaseOnce.Do(c.release)
-	return err
-}
-
-// asLimitedConn returns the limitedConn under a TLS wrapper, or nil.
-func asLimitedConn(c net.Conn) *limitedConn {
-	if w, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = w.NetConn()
-	}
-	l, _ := c.(*limitedConn)
-	return l
-}
-
 // hasUnreadBytes reports whether there are bytes in the receive buffer of a connection.
 func hasUnreadBytes(c net.Conn) bool {
 	s, ok := unwrapSocket(c).(syscall.Conn)
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"wigeontray/internal/membudget"
 )
 
 // pipeListener accepts in-memory connections that a test dials.
@@ -38,6 +40,7 @@
 type testServer struct {
 	*qt.C
 	listener *pipeListener
+	budget   *membudget.Budget // nil for none
 }
 
 func newTestServer(t *testing.T, h http.HandlerFunc, limits Limits) *testServer {
--- a/internal/httpserve/peer.go
+++ b/internal/httpserve/peer.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"wigeontray/internal/membudget"
 )
 
 // peerKey is the context key of the peer of a request.
@@ -29,6 +31,9 @@
 func withPeer(ctx context.Context, c net.Conn) context.Context {
 	p := &peer{conn: c}
 	p.recordAnswer()
+	if l, ok := c.(*limitedConn); ok {
+		ctx = membudget.NewContext(ctx, l.account)
+	}
 	return context.WithValue(ctx, peerKey{}, p)
 }
 
--- a/internal/httpserve/response.go
+++ b/internal/httpserve/response.go
@@ -4,13 +4,15 @@
 	"bufio"
 	"net"
 	"net/http"
+	"time"
 )
 
 // requireResponse closes the connection of a request whose handler has returned without a response.
-// net/http would send an empty 200 in its place, which the client would take for success.
-func requireResponse(next http.Handler) http.Handler {
+// net/http would send an empty 200 in its place, which the client would take for success. A positive timeout
+// limits the time in which the client must receive what the handler has written last.
+func requireResponse(next http.Handler, timeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		observer := &responseObserver{ResponseWriter: w}
+		observer := &responseObserver{ResponseWriter: w, conn: connOf(r), timeout: timeout}
 		next.ServeHTTP(observer, r)
 		if !observer.hasResponded {
 			panic(http.ErrAbortHandler)
@@ -21,24 +23,40 @@
 // responseObserver observes whether a handler has responded or taken over the connection.
 type responseObserver struct {
 	http.ResponseWriter
+	conn         *limitedConn // nil for none
+	timeout      time.Duration
 	hasResponded bool
 }
 
+// begin records that a part of the final response is about to be written.
+func (o *responseObserver) begin() {
+	o.hasResponded = true
+	if o.conn == nil {
+		return
+	}
+	o.conn.responseBegins()
+	if o.timeout > 0 {
+		_ = o.conn.SetWriteDeadline(time.Now().Add(o.timeout)) // fails only if the connection is closed
+	}
+}
+
 // WriteHeader implements http.ResponseWriter. Informational responses precede the final one.
 func (o *responseObserver) WriteHeader(status int) {
-	o.hasResponded = o.hasResponded || status >= http.StatusOK
+	if status >= http.StatusOK {
+		o.begin()
+	}
 	o.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (o *responseObserver) Write(b []byte) (int, error) {
-	o.hasResponded = true
+	o.begin()
 	return o.ResponseWriter.Write(b)
 }
 
 // FlushError implements the method that http.ResponseController calls.
 func (o *responseObserver) FlushError() error {
-	o.hasResponded = true
+	o.begin()
 	return http.NewResponseController(o.ResponseWriter).Flush()
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -21,8 +21,10 @@
 	"wigeontray/internal/httpserve"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
+	"wigeontray/internal/membudget"
 	"wigeontray/internal/pause"
 	"wigeontray/internal/peers"
+	"wigeontray/internal/proclimit"
 	"wigeontray/internal/record"
 	"wigeontray/internal/roster"
 	"wigeontray/internal/settings"
@@ -53,6 +55,9 @@
 	router  *entry.PeerRouter
 	fenced  chan struct{} // closed when a roster declared this entry gone
 
+	limits proclimit.Process
+	budget *membudget.Budget // for the requests of all listeners
+
 	callers, inner, admin *httpserve.Server
 	// SkipLameDuck makes a shutdown skip the lame duck delay and the roster. It
 	// is for the quickstart, which has no load balancer and whose store ends
@@ -73,7 +78,11 @@
 	}
 	setMemoryLimit(cfg.Limits.Memory)
 	setGCPercent()
-	e := &Entry{cfg: cfg, log: logger, metrics: telemetry.New(), fenced: make(chan struct{})}
+	limits, budget, err := newProcessLimits(cfg.Limits.Memory, cfg.Limits.Descriptors)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{cfg: cfg, log: logger, metrics: telemetry.New(), fenced: make(chan struct{}), limits: limits, budget: budget}
 	registry := e.metrics.GoMetrics()
 	kv := store.NewEtcd(store.Options{
 		Endpoints: cfg.Store.Endpoints, Timeout: cfg.Store.Timeout,
@@ -110,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	if e.inner, err = httpserve.Listen(e.cfg.Inner, inner, innerTLS, httpserve.DefaultLimits()); err != nil {
+	if e.inner, err = httpserve.Listen(e.cfg.Inner, inner, innerTLS, e.limitsFor(proclimit.Links, httpserve.DefaultLimits())); err != nil {
 		return err
 	}
 	self := wire.EntryAddr{
@@ -130,10 +139,10 @@
 	if e.callers, err = httpserve.Listen(e.cfg.Callers, e.server.Handler(), callersTLS, e.callerHTTPLimits()); err != nil {
 		return err
 	}
-	e.metrics.ReadCounter(telemetry.HandshakesFailed, func() int64 {
-		return e.inner.HandshakesFailed() + e.callers.HandshakesFailed()
-	})
-	e.admin, err = httpserve.Listen(e.cfg.Admin, e.server.AdminHandler(), nil, httpserve.DefaultLimits())
+	e.admin, err = httpserve.Listen(e.cfg.Admin, e.server.AdminHandler(), nil, e.limitsFor(proclimit.Internal, httpserve.DefaultLimits()))
+	if err == nil {
+		e.observeLimits()
+	}
 	return err
 }
 
@@ -161,7 +170,7 @@
 	}
 	e.server = entry.New(entry.Options{
 		ID: self.Incarnation, Domain: self.Domain, FleetKey: key, Software: telemetry.Version,
-		MaxBodyBytes: e.cfg.Limits.MaxBodyBytes, MaxOpenRequests: int(e.cfg.Limits.MaxOpenRequests), MaxOpenBytes: e.cfg.Limits.MaxOpenBytes,
+		MaxBodyBytes: e.limits.MaxBody(e.cfg.Limits.MaxBodyBytes), MaxOpenRequests: int(e.cfg.Limits.MaxOpenRequests), MaxOpenBytes: e.cfg.Limits.MaxOpenBytes,
 		Jobs: e.jobLimits(), Seed: rand.Uint64(),
 		Config: config, Router: router, Metrics: e.metrics, Log: e.log, Records: recordsHandler,
 		OnConfigChange: router.ConfigChanged,
@@ -208,8 +217,27 @@
 	l.HeaderTimeout = e.cfg.Limits.HeaderTimeout
 	l.BodyTimeout = e.cfg.Limits.BodyTimeout
 	l.IdleTimeout = e.cfg.Limits.IdleTimeout
+	l.ResponseTimeout = e.cfg.Limits.ResponseTimeout
 	l.MaxConnections = int(e.cfg.Limits.MaxConnections)
-	return l
+	return e.limitsFor(proclimit.Callers, l)
+}
+
+// limitsFor lowers limits to what the process's memory and descriptors allow for a listener.
+func (e *Entry) limitsFor(use proclimit.Use, l httpserve.Limits) httpserve.Limits {
+	return l.Within(e.limits.Listener(use, l.MaxConnections), e.budget)
+}
+
+// observeLimits registers the metrics of the limits on clients.
+func (e *Entry) observeLimits() {
+	e.metrics.ReadCounter(telemetry.HandshakesFailed, func() int64 {
+		return e.inner.HandshakesFailed() + e.callers.HandshakesFailed()
+	})
+	e.metrics.ReadCounter(telemetry.ConnectionsEvicted, func() int64 {
+		return e.inner.ConnectionsEvicted() + e.callers.ConnectionsEvicted() + e.admin.ConnectionsEvicted()
+	})
+	e.metrics.ReadGauge(telemetry.RequestBytes, func() int64 { return e.budget.Stats().Charged })
+	e.metrics.ReadCounter(telemetry.RequestsEvicted, func() int64 { return e.budget.Stats().Evictions })
+	e.metrics.ReadCounter(telemetry.RequestsOverMemory, func() int64 { return e.budget.Stats().Refusals })
 }
 
 func (e *Entry) jobLimits() jobs.Limits {
@@ -239,6 +267,7 @@
 	}
 	go func() { _ = e.sync.Run(runCtx) }()
 	go e.router.Run(runCtx)
+	e.log.Info("limits", "connections", e.callerHTTPLimits().MaxConnections, "content_bytes", e.budget.Stats().Capacity)
 	e.log.Info("entry serves", "callers", e.callers.Addr(), "inner", e.inner.Addr(), "admin", e.admin.Addr())
 	select {
 	case <-ctx.Done():
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -4,6 +4,8 @@
 	"os"
 	"runtime/debug"
 
+	"wigeontray/internal/membudget"
+	"wigeontray/internal/proclimit"
 	"wigeontray/internal/settings"
 )
 
@@ -26,3 +28,13 @@
 		debug.SetGCPercent(entryGCPercent)
 	}
 }
+
+// newProcessLimits returns the limits of this process and the budget for its requests. A memory of
+// settings.NoMemoryLimit stands for the machine's.
+func newProcessLimits(memory, descriptors int64) (proclimit.Process, *membudget.Budget, error) {
+	if memory == settings.NoMemoryLimit {
+		memory = 0
+	}
+	p, err := proclimit.New(memory, descriptors)
+	return p, p.NewBudget(), err
+}
--- a/internal/recordapi/recordapi.go
+++ b/internal/recordapi/recordapi.go
@@ -18,7 +18,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -215,10 +214,13 @@
 	if expected == 0 && !p.canCreateOrDelete(kind) {
 		return errkind.New(errkind.Forbidden, "a member record is created by the consortium's operator")
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, record.MaxSize))
+	value, err := httpserve.ReadBody(w, r, record.MaxSize)
 	if _, isTooLarge := errors.AsType[*http.MaxBytesError](err); isTooLarge {
 		return errkind.New(errkind.TooLarge, "a record may have %d bytes", record.MaxSize)
 	}
+	if errors.Is(err, httpserve.ErrNoMemory) {
+		return errkind.New(errkind.TooManyJobs, "%w", err).WithRan(errkind.RanNo).WithAfter(time.Second)
+	}
 	if err != nil {
 		return errkind.New(errkind.BadRequest, "body: %w", err)
 	}
--- a/internal/settings/batch.go
+++ b/internal/settings/batch.go
@@ -17,6 +17,7 @@
 	Stop          time.Duration
 	ResendDelay   time.Duration // delay after which callers without an answer resend a job
 	Memory        int64         // megabytes
+	Descriptors   int64         // most open at once; 0 for the operating system's limit
 	// SharesByDemand divides scarce capacity among entries by what their callers ask for.
 	SharesByDemand bool
 	// SharesByCaller divides scarce capacity among callers in max-min shares.
@@ -39,6 +40,7 @@
 	ResendDelay time.Duration // delay after which callers without an answer resend a job
 	MaxLease    time.Duration // longest lease that the worker accepts
 	Memory      int64         // megabytes
+	Descriptors int64         // most open at once; 0 for the operating system's limit
 	Log         BoundedLog
 }
 
@@ -66,8 +68,8 @@
 		addressField("listen", "metrics", "", "Address for counters; none if left out.", func(e *BatchEntry) *string { return &e.Metrics }),
 		addressField("store", "address", "", "Address of the platform's store.", func(e *BatchEntry) *string { return &e.Store }).markRequired(),
 	},
-	batchLimitFields(func(e *BatchEntry) (stop, resend *time.Duration, memory *int64) {
-		return &e.Stop, &e.ResendDelay, &e.Memory
+	batchLimitFields(func(e *BatchEntry) batchLimits {
+		return batchLimits{&e.Stop, &e.ResendDelay, &e.Memory, &e.Descriptors}
 	}),
 	[]field[BatchEntry]{
 		boolField("shares", "by_demand", "Divides scarce room among entries by what their callers ask for. Without it each entry gets an equal part.", func(e *BatchEntry) *bool { return &e.SharesByDemand }),
@@ -87,8 +89,8 @@
 		addressField("worker", "address", "", "Address of the worker on this VM.", func(g *BatchGuard) *string { return &g.Worker }).markRequired(),
 		addressField("store", "address", "", "Address of the platform's store.", func(g *BatchGuard) *string { return &g.Store }).markRequired(),
 	},
-	batchLimitFields(func(g *BatchGuard) (stop, resend *time.Duration, memory *int64) {
-		return &g.Stop, &g.ResendDelay, &g.Memory
+	batchLimitFields(func(g *BatchGuard) batchLimits {
+		return batchLimits{&g.Stop, &g.ResendDelay, &g.Memory, &g.Descriptors}
 	}),
 	[]field[BatchGuard]{
 		millisField("limits", "max_lease_ms", 1000, 1, 3_600_000, "Longest lease that a worker accepts. What an order without an answer has started at a worker that has restarted under its id has ended by then.", func(g *BatchGuard) *time.Duration { return &g.MaxLease }),
@@ -96,13 +98,20 @@
 	boundedLogFields(func(g *BatchGuard) *BoundedLog { return &g.Log }),
 )
 
-func batchLimitFields[T any](target func(*T) (stop, resend *time.Duration, memory *int64)) []field[T] {
-	stop := secondsField("limits", "stop_s", stopDoc, func(t *T) *time.Duration { d, _, _ := target(t); return d })
+// batchLimits are the targets of the limits that entries and guards have in common.
+type batchLimits struct {
+	stop, resend        *time.Duration
+	memory, descriptors *int64
+}
+
+func batchLimitFields[T any](targets func(*T) batchLimits) []field[T] {
+	stop := secondsField("limits", "stop_s", stopDoc, func(t *T) *time.Duration { return targets(t).stop })
 	return []field[T]{
 		stop.markRequired(),
-		millisField("limits", "resend_ms", 1300, 1, 3_600_000, resendDoc, func(t *T) *time.Duration { _, d, _ := target(t); return d }),
-		integerField("limits", "memory_mb", "megabytes", 128, 32, 1<<20, "Memory of the process. Above half of it garbage is collected more often.",
-			func(t *T) *int64 { _, _, n := target(t); return n }),
+		millisField("limits", "resend_ms", 1300, 1, 3_600_000, resendDoc, func(t *T) *time.Duration { return targets(t).resend }),
+		integerField("limits", "memory_mb", "megabytes", 128, 32, 1<<20, "Memory of the process. Above half of it garbage is collected more often. The limits on connections and on the content of requests follow from it.",
+			func(t *T) *int64 { return targets(t).memory }),
+		descriptorsField(func(t *T) *int64 { return targets(t).descriptors }),
 	}
 }
 
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -170,7 +170,13 @@
 // its CPU time would show why.
 func memoryField[T any](def int64, target func(*T) *int64) field[T] {
 	return integerField("limits", "memory_bytes", "bytes", def, 16*mib, NoMemoryLimit,
-		"Soft limit on the memory of the process. Below it the heap may grow to twice its live data (GOGC, 100 unless set in the environment); near it garbage is collected more often. Set it well above the live data, or the processor time goes to the collector. 1 TiB is no limit. GOMEMLIMIT in the environment goes before it.", target)
+		"Soft limit on the memory of the process. Below it the heap may grow to twice its live data (GOGC, 100 unless set in the environment); near it garbage is collected more often. Set it well above the live data, or the processor time goes to the collector. 1 TiB is no limit. GOMEMLIMIT in the environment goes before it. The limits on connections and on the content of requests follow from it, or from the machine's memory if there is no limit.", target)
+}
+
+// descriptorsField is the limit of open descriptors.
+func descriptorsField[T any](target func(*T) *int64) field[T] {
+	return integerField("limits", "descriptors", "descriptors", 0, 0, 1<<30,
+		"Most descriptors that the process may have open; with 0 the operating system's limit. The limits on connections follow from it and from the memory.", target)
 }
 
 func headerTimeoutField[T any](target func(*T) *time.Duration) field[T] {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -64,6 +64,7 @@
 	MaxBodyBytes    int64 // maximum bytes of a submission
 	HeaderTimeout   time.Duration
 	BodyTimeout     time.Duration
+	ResponseTimeout time.Duration // for the client to receive what was written last
 	IdleTimeout     time.Duration
 	MaxConnections  int64
 	MaxOpenRequests int64         // maximum for one member
@@ -72,6 +73,7 @@
 	MaxAnswerBytes  int64         // maximum bytes of the stored answers of one member
 	MaxRecords      int64         // maximum job records of one member
 	Memory          int64         // soft memory limit of the process, in bytes
+	Descriptors     int64         // most open at once; 0 for the operating system's limit
 	DrainTimeout    time.Duration
 }
 
@@ -97,17 +99,19 @@
 	[]field[Entry]{
 		textField("fleet", "config_key_file", "", "File with the key that all entries, and no guard, share; at least 16 bytes. With it guards keep the configuration, sealed, for entries that start while the store is down.", func(e *Entry) *string { return &e.ConfigKeyFile }),
 		sha256Field("operators", "consortium_token_sha256", "SHA-256, in hexadecimal, of the token that may create, amend and delete member records.", func(e *Entry) *string { return &e.Operators.ConsortiumTokenSHA256 }),
-		integerField("limits", "body_bytes", "bytes", 8*mib, kib, 64*mib, "Largest body of a submission.", func(e *Entry) *int64 { return &e.Limits.MaxBodyBytes }),
+		integerField("limits", "body_bytes", "bytes", 8*mib, kib, 64*mib, "Largest body of a submission; at most a 32nd of the memory.", func(e *Entry) *int64 { return &e.Limits.MaxBodyBytes }),
 		headerTimeoutField(func(e *Entry) *time.Duration { return &e.Limits.HeaderTimeout }),
 		millisField("limits", "body_timeout_ms", 30_000, 100, 600_000, "Time in which a caller must have sent its request's body, from the end of the header.", func(e *Entry) *time.Duration { return &e.Limits.BodyTimeout }),
+		millisField("limits", "response_timeout_ms", 120_000, 100, 3_600_000, "Time in which a caller must have received its response, once it is being written.", func(e *Entry) *time.Duration { return &e.Limits.ResponseTimeout }),
 		millisField("limits", "idle_timeout_ms", 120_000, 1000, 3_600_000, "Time after which an idle connection of a caller is closed.", func(e *Entry) *time.Duration { return &e.Limits.IdleTimeout }),
-		integerField("limits", "connections", "connections", 10_000, 1, 1_000_000, "Most connections of callers at once. From three quarters of them on, each is closed after its answer.", func(e *Entry) *int64 { return &e.Limits.MaxConnections }),
+		integerField("limits", "connections", "connections", 10_000, 1, 1_000_000, "Most connections of callers at once; fewer if the memory or the descriptors allow fewer. From three quarters of them on, each is closed after its answer, and at the limit those that wait for their caller are closed for new ones.", func(e *Entry) *int64 { return &e.Limits.MaxConnections }),
 		integerField("limits", "open_requests", "requests", 4000, 1, 1_000_000, "Most requests of one member open at once. It should be well below `connections`, so that one member's flood leaves the others room.", func(e *Entry) *int64 { return &e.Limits.MaxOpenRequests }),
 		integerField("limits", "open_bytes", "bytes", 64*mib, mib, 16<<30, "Most bytes of bodies in one member's open requests.", func(e *Entry) *int64 { return &e.Limits.MaxOpenBytes }),
 		millisField("limits", "retention_ms", 600_000, 1000, 86_400_000, "Time for which a finished job is remembered, so that a resubmission gets its answer.", func(e *Entry) *time.Duration { return &e.Limits.Retention }),
 		integerField("limits", "answer_bytes", "bytes", 64*mib, mib, 16<<30, "Memory for answers of finished jobs, for each member. The oldest go first; the jobs stay known.", func(e *Entry) *int64 { return &e.Limits.MaxAnswerBytes }),
 		integerField("limits", "records", "jobs", 1_000_000, 1000, 100_000_000, "Most jobs of one member remembered at once.", func(e *Entry) *int64 { return &e.Limits.MaxRecords }),
 		memoryField(NoMemoryLimit, func(e *Entry) *int64 { return &e.Limits.Memory }),
+		descriptorsField(func(e *Entry) *int64 { return &e.Limits.Descriptors }),
 		millisField("limits", "drain_timeout_ms", 30_000, 0, 600_000, "Longest time that a planned stop waits for requests in flight.", func(e *Entry) *time.Duration { return &e.Limits.DrainTimeout }),
 	},
 	logFields(func(e *Entry) *Log { return &e.Log }),
--- a/internal/telemetry/families.go
+++ b/internal/telemetry/families.go
@@ -36,6 +36,9 @@
 	MalformedItems
 	CallersDisconnected
 	UnknownOrders
+	RequestsEvicted
+	RequestsOverMemory
+	ConnectionsEvicted
 	counterCount
 )
 
@@ -54,6 +57,7 @@
 	Waiters
 	LinkBandwidth
 	DomainsDrained
+	RequestBytes
 	gaugeCount
 )
 
@@ -136,6 +140,9 @@
 	ConfigsApplied:      {Name: "wigeontray_configs_applied_total", Help: "Configuration snapshots put in force."},
 	MalformedItems:      {Name: "wigeontray_foreign_items_total", Help: "Reports of workers, stored reports and listed addresses that are not of the expected form; they were passed over."},
 	UnknownOrders:       {Name: "wigeontray_orders_unknown_total", Help: "Orders of the operators that were read and that this version has no meaning for; the log names their keys."},
+	RequestsEvicted:     {Name: "wigeontray_requests_evicted_total", Help: "Requests that were dropped before they had arrived completely, as the memory for requests was used up and others arrived faster or were smaller."},
+	RequestsOverMemory:  {Name: "wigeontray_requests_over_memory_total", Help: "Requests that were refused as the memory for requests was used up."},
+	ConnectionsEvicted:  {Name: "wigeontray_connections_evicted_total", Help: "Connections that waited for their client and were closed for new ones, at the limit on connections."},
 	CallersDisconnected: {Name: "wigeontray_callers_gone_total", Help: "Requests that were read after their caller had ended the connection; nothing was started for them."},
 }
 
@@ -149,6 +156,7 @@
 	RosterVersion:  {Name: "wigeontray_roster_version", Help: "Version of the newest roster known."},
 	Waiters:        {Name: "wigeontray_waiters", Help: "Callers' requests open now."},
 	DomainsDrained: {Name: "wigeontray_domains_drained", Help: "Failure domains that the operators drain, as far as this process knows."},
+	RequestBytes:   {Name: "wigeontray_request_bytes", Help: "Memory that requests take beyond what each connection includes."},
 	LinkBandwidth:  {Name: "wigeontray_link_bytes_per_second", Help: "Bandwidth from this entry to its guards in bytes a second, once it has been found to be thin; 0 before."},
 }
 
