wire: charge frames to the budget, and limit the bytes that wait to be sent

What callers saw: an entry that ended for want of memory while unknown clients opened links and sent long first frames.

Cause: a link buffers a frame of up to 8 MiB before its sender has said who it is, and nothing limited all links together. What waits to be sent on a link was limited in frames, not in bytes.

The buffer of a frame is charged to the account of its connection as it grows. A link whose frame does not fit, or that yields, is closed, and its peer opens it anew. 16 MiB may wait on a link; a single frame may always.

--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -13,11 +13,14 @@
 	"time"
 
 	"github.com/coder/websocket"
+
+	"wigeontray/internal/membudget"
 )
 
 // Timeouts and limits of a link.
 const (
 	maxQueuedFrames = 4096            // frames waiting for the socket
+	maxQueuedBytes  = 2 * MaxFrame    // of these frames
 	writeTimeout    = 5 * time.Second // for writing one frame to the socket
 )
 
@@ -53,15 +56,19 @@
 	closing      chan struct{} // closed when the closing handshake is complete or abandoned; see Shut
 	closeOnce    sync.Once
 	traffic      *Traffic
+	memory       *membudget.Account // of an accepted link; nil for no limit
 }
 
 // newLink returns a link without a connection. The connection is attached later because it
 // is created with callbacks of the link. traffic may be nil.
-func newLink(dialed bool, traffic *Traffic) *socketLink {
+func newLink(dialed bool, traffic *Traffic, memory *membudget.Account) *socketLink {
 	if traffic == nil {
 		traffic = new(Traffic)
 	}
-	return &socketLink{queue: newSendQueue(maxQueuedFrames), peerLiveness: newLiveness(dialed), done: make(chan struct{}), closing: make(chan struct{}), traffic: traffic}
+	return &socketLink{
+		queue: newSendQueue(maxQueuedFrames, maxQueuedBytes), peerLiveness: newLiveness(dialed), done: make(chan struct{}), closing: make(chan struct{}),
+		traffic: traffic, memory: memory,
+	}
 }
 
 // attach starts the link on an established connection.
@@ -124,7 +131,8 @@
 func (l *socketLink) receiveFrame(r io.Reader) (*Frame, error) {
 	buf := readBuffers.Get().(*bytes.Buffer)
 	defer releaseBuffer(buf)
-	if _, err := buf.ReadFrom(r); err != nil {
+	defer l.memory.Clear()
+	if err := l.readFrame(buf, r); err != nil {
 		l.Close("read failed")
 		return nil, fmt.Errorf("read link: %w", err)
 	}
@@ -139,6 +147,45 @@
 	return f, nil
 }
 
+// minFrameBuffer is the size of the smallest receive buffer, in bytes.
+const minFrameBuffer = 8 << 10
+
+// readFrame reads a frame into an empty buffer. The memory of the buffer is charged to the link as it grows.
+func (l *socketLink) readFrame(buf *bytes.Buffer, r io.Reader) error {
+	l.memory.Begin()
+	if err := l.memory.Grow(int64(buf.Cap())); err != nil {
+		return err
+	}
+	for {
+		if buf.Available() == 0 {
+			if err := l.growBuffer(buf); err != nil {
+				return err
+			}
+		}
+		free := buf.AvailableBuffer()
+		n, err := r.Read(free[:cap(free)])
+		buf.Write(free[:n])
+		switch {
+		case errors.Is(err, io.EOF):
+			return l.memory.Complete()
+		case err != nil:
+			return fmt.Errorf("read frame: %w", err)
+		}
+	}
+}
+
+// growBuffer doubles a full buffer.
+func (l *socketLink) growBuffer(buf *bytes.Buffer) error {
+	before := buf.Cap()
+	size := max(minFrameBuffer, 2*before)
+	if err := l.memory.Replace(int64(before), int64(size)); err != nil {
+		return err
+	}
+	buf.Grow(size - before)
+	l.memory.Shrink(int64(before))
+	return nil
+}
+
 // readBuffers holds receive buffers. A buffer can be reused once its frame is decoded,
 // since decoding copies.
 var readBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -198,7 +245,7 @@
 		if err := l.writeFrame(b); err != nil {
 			return err
 		}
-		l.queue.markWritten()
+		l.queue.markWritten(len(b))
 	}
 	return nil
 }
@@ -267,7 +314,7 @@
 
 // Dial opens a link to url (ws:// or wss://).
 func Dial(ctx context.Context, url string, client *http.Client, traffic *Traffic) (Link, error) {
-	l := newLink(true, traffic)
+	l := newLink(true, traffic, nil)
 	conn, _, err := websocket.Dial(ctx, url, &websocket.DialOptions{
 		HTTPClient:      client,
 		CompressionMode: websocket.CompressionDisabled,
@@ -282,7 +329,7 @@
 // Accept upgrades an HTTP request to a link. The handler may return before the link ends,
 // which releases the memory that net/http holds for the request.
 func Accept(w http.ResponseWriter, r *http.Request, traffic *Traffic) (Link, error) {
-	l := newLink(false, traffic)
+	l := newLink(false, traffic, membudget.FromContext(r.Context()))
 	conn, err := websocket.Accept(&smallBufferWriter{w}, r, &websocket.AcceptOptions{
 		CompressionMode: websocket.CompressionDisabled,
 		OnPingReceived:  l.onPing,
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -6,7 +6,7 @@
 // adjacent versions are compatible. Times on the wire are durations in milliseconds, never
 // readings of another machine's clock; the exception is the creation times of identities.
 //
-// The package may import errkind, identity and sched, and nothing else of the project.
+// The package may import errkind, identity, membudget and sched, and nothing else of the project.
 package wire
 
 import (
