entry: reserve the memory of a job until it ends, and limit finished jobs by the memory

What callers saw: an entry that ended for want of memory while members' callers sent many large submissions.

Cause: a submission's memory was counted while its request was open. With `Prefer: respond-async`, or a short wait, the job went on after the response and was counted nowhere; jobs that peers pass on were never counted. Answers and records of finished jobs had fixed limits for each member, 64 MiB and a million, on machines of any size.

A job is charged to the budget from its admission until it has ended; a submission that finds no room is refused as too_many_jobs, with Retry-After, and may be sent again under the same identity. The limits for each member are at most a 16th of the memory for answers and one record for each 4 KiB. They are not limited over all members.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
+	"wigeontray/internal/membudget"
 	"wigeontray/internal/meter"
 	"wigeontray/internal/record"
 	"wigeontray/internal/telemetry"
@@ -83,6 +84,7 @@
 	MaxGuardSlots   int           // max. slots that one guard may report
 	MaxDeadline     time.Duration // longest deadline of a job
 	Jobs            jobs.Limits
+	Memory          *membudget.Budget // for unfinished jobs; nil for no limit
 	Seed            uint64
 	Config          Config
 	Router          Router
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -7,6 +7,7 @@
 	"wigeontray/internal/dispatch"
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/jobs"
+	"wigeontray/internal/membudget"
 	"wigeontray/internal/telemetry"
 	"wigeontray/internal/wire"
 )
@@ -38,8 +39,14 @@
 			return errorReply(q.key.Text, err)
 		}
 	}
+	memory := s.opts.Memory.NewJobAccount()
+	if err := memory.Grow(sub.bytes()); err != nil {
+		s.metrics.CountRefusal(errkind.TooManyJobs)
+		return errorReply(q.key.Text, errOverMemory(err))
+	}
 	rec, isNew, err := s.registry.Admit(time.Now(), q.member, q.key, sub.fingerprint())
 	if err != nil {
+		memory.Clear()
 		s.metrics.CountRefusal(err.Kind)
 		return errorReply(q.key.Text, err)
 	}
@@ -47,9 +54,28 @@
 	if isNew {
 		s.startJob(q, sub, rec)
 	} else {
+		memory.Clear()
 		s.metrics.Inc(telemetry.JobsResubmitted)
 	}
-	return s.awaitAnswer(ctx, q, rec)
+	r := s.awaitAnswer(ctx, q, rec)
+	s.clearWhenDone(memory, rec)
+	return r
+}
+
+// clearWhenDone releases the memory of a job once it has ended, which may be after its request was answered.
+func (s *Server) clearWhenDone(memory *membudget.Account, rec *jobs.Record) {
+	select {
+	case <-rec.Done():
+		memory.Clear()
+	default:
+		go func() {
+			select {
+			case <-rec.Done():
+			case <-s.ctx.Done():
+			}
+			memory.Clear()
+		}()
+	}
 }
 
 // startJob submits a new job to the dispatcher of its service. A refusal is
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wigeontray/internal/errkind"
+	"wigeontray/internal/membudget"
 )
 
 // Protects against one member taking every connection of the entry with waiting
@@ -94,3 +96,27 @@
 		e.Assert(e.serve(e.newRequest("ayni", "PUT", path, "", "{}")).Code, qt.Equals, http.StatusOK)
 	})
 }
+
+// Guards against callers that fill the memory with jobs whose answers they do not wait for.
+func TestMemoryOfJobsIsReservedUntilTheyEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		e.server.opts.Memory = membudget.New(taskOverheadBytes + 50)
+		g := e.linkGuard("guard-1", 8)
+		submitAsync := func(key string) *httptest.ResponseRecorder {
+			r := e.newRequest("ayni", http.MethodPost, "/v1/jobs", key, testSubmission)
+			r.Header.Set("Prefer", "respond-async")
+			return e.serve(r)
+		}
+		first := e.newTicket()
+		e.Assert(submitAsync(first).Code, qt.Equals, http.StatusAccepted)
+		start := e.recvFrame(g).Start
+		refusal := e.assertRefused(submitAsync(e.newTicket()), errkind.TooManyJobs)
+		e.Check(refusal.RetryAfterMs, qt.Equals, usageRetryDelay.Milliseconds())
+		e.sendResult(g, start, `1`)
+		synctest.Wait()
+		e.Check(e.server.opts.Memory.Stats().Charged, qt.Equals, int64(0))
+		e.Check(submitAsync(first).Code, qt.Equals, http.StatusOK)
+		e.Check(submitAsync(e.newTicket()).Code, qt.Equals, http.StatusAccepted)
+	})
+}
--- a/internal/entry/submission.go
+++ b/internal/entry/submission.go
@@ -107,6 +107,18 @@
 	return dispatch.Need{Accelerators: s.Accelerators, MemoryMB: s.MemoryMB}
 }
 
+// taskOverheadBytes is the memory of a task beside its body.
+const taskOverheadBytes = 256
+
+// bytes returns the memory of the submission's job.
+func (s *submission) bytes() int64 {
+	sum := 0
+	for _, t := range s.Tasks {
+		sum += len(t) + taskOverheadBytes
+	}
+	return int64(sum)
+}
+
 func (s *submission) bodies() [][]byte {
 	out := make([][]byte, len(s.Tasks))
 	for i, t := range s.Tasks {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -171,7 +171,7 @@
 	e.server = entry.New(entry.Options{
 		ID: self.Incarnation, Domain: self.Domain, FleetKey: key, Software: telemetry.Version,
 		MaxBodyBytes: e.limits.MaxBody(e.cfg.Limits.MaxBodyBytes), MaxOpenRequests: int(e.cfg.Limits.MaxOpenRequests), MaxOpenBytes: e.cfg.Limits.MaxOpenBytes,
-		Jobs: e.jobLimits(), Seed: rand.Uint64(),
+		Jobs: e.jobLimits(), Memory: e.budget, Seed: rand.Uint64(),
 		Config: config, Router: router, Metrics: e.metrics, Log: e.log, Records: recordsHandler,
 		OnConfigChange: router.ConfigChanged,
 	})
@@ -243,11 +243,18 @@
 func (e *Entry) jobLimits() jobs.Limits {
 	l := jobs.DefaultLimits()
 	l.Retention = e.cfg.Limits.Retention
-	l.MaxAnswerBytes = e.cfg.Limits.MaxAnswerBytes
-	l.MaxRecords = int(e.cfg.Limits.MaxRecords)
+	l.MaxAnswerBytes = min(e.cfg.Limits.MaxAnswerBytes, e.limits.Memory/answersDivisor)
+	l.MaxRecords = int(min(e.cfg.Limits.MaxRecords, e.limits.Memory/recordsDivisor/jobRecordBytes))
 	return l
 }
 
+// Parts of the memory for the finished jobs of one member.
+const (
+	answersDivisor = 16
+	recordsDivisor = 8
+	jobRecordBytes = 512
+)
+
 // Addrs returns the listen addresses for callers, guards and operators.
 func (e *Entry) Addrs() (callers, inner, admin string) {
 	return e.callers.Addr(), e.inner.Addr(), e.admin.Addr()
