proclimit: leave connections to a process with few descriptors

264 descriptors were kept for files and outgoing connections also where a process may open 256 in all: each listener then had four connections. At most half and an eighth of them are kept now. Found by reading; TestReservedDescriptors.

--- a/internal/proclimit/proclimit.go
+++ b/internal/proclimit/proclimit.go
@@ -37,7 +37,7 @@
 	socketPercent  = 5 // of the memory, for all buffers of a listener beyond the smallest size
 )
 
-// Descriptors that are not for accepted connections.
+// Descriptors that are not for accepted connections, where the process may have many; see reservedDescriptors.
 const (
 	fileDescriptors     = 200
 	outgoingConnections = 64
@@ -115,7 +115,7 @@
 
 // connections returns how many connections a listener may have at once, at most most.
 func (p Process) connections(use Use, most int) int {
-	sockets := p.Descriptors - fileDescriptors - outgoingConnections
+	sockets := p.Descriptors - p.reservedDescriptors()
 	var byMemory, byDescriptors int64
 	switch use {
 	case Callers:
@@ -128,6 +128,11 @@
 	return int(max(minConnections, min(byMemory, byDescriptors, int64(most))))
 }
 
+// reservedDescriptors returns how many descriptors are not for accepted connections.
+func (p Process) reservedDescriptors() int64 {
+	return min(fileDescriptors, p.Descriptors/2) + min(outgoingConnections, p.Descriptors/8)
+}
+
 // socketBytes returns the size of the socket buffers of a listener's connections, of which it may have so many
 // and as many in its queue.
 func (p Process) socketBytes(connections int) int {
