node: one member's waiting requests leave connections to the others on small machines

What callers saw: nothing yet; another member could not connect to an entry while one member's 900 requests waited for a job.

Cause: a member may have 4,000 requests open, two fifths of the default 10,000 connections.

Evidence: TestCrowdOfWaitingRequests (new) was red: the other member's request was answered after 50 s, when the job had ended. The limit is at most 40% of the connections now, which is what it was by default: the test passes in 2 s.

--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/google/uuid"
@@ -74,12 +75,15 @@
 
 // play lets a crowd send, requires an ordinary request to be served while its connections are open, and checks that
 // the entry stays within its memory.
-func (f *crowdFleet) play(crowd *proctest.Crowd) {
+func (f *crowdFleet) play(crowd *proctest.Crowd) { f.playWith(crowd, f.serveOrdinaryRequest) }
+
+// playWith is play with an ordinary request of the caller's choice.
+func (f *crowdFleet) playWith(crowd *proctest.Crowd, serveOrdinary func()) {
 	f.t.Helper()
 	watch := proctest.StartWatch(f.t, f.entry.Process, crowd.Address)
 	crowd.Send(f.t)
 	watch.Settle()
-	f.serveOrdinaryRequest()
+	serveOrdinary()
 	select {
 	case <-f.entry.Ended():
 		f.Fatalf("the entry has ended: %v", f.entry.Wait())
@@ -98,10 +102,15 @@
 	return key.String()
 }
 
-// crowdRequest returns the head of a submission by a client, with an additional header line.
+// crowdRequest returns the head of a submission of a new job by a client, with an additional header line.
 func crowdRequest(t *testing.T, client int, header string) string {
+	return submission(client, newKey(t), header)
+}
+
+// submission returns the head of a submission by a client, whose member is one of two.
+func submission(client int, key, header string) string {
 	return fmt.Sprintf("POST /v1/jobs HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\n%s\r\n\r\n",
-		[]string{crowdToken, crowdOtherToken}[client%2], newKey(t), header)
+		[]string{crowdToken, crowdOtherToken}[client%2], key, header)
 }
 
 // sizedBody returns a submission that repeats a text in its list of tasks up to the largest size, of which the last
@@ -168,6 +177,32 @@
 	})
 }
 
+// Guards against a member whose requests wait for an answer on all connections of an entry, so that other members
+// cannot connect.
+func TestCrowdOfWaitingRequests(t *testing.T) {
+	f := newCrowdFleet(t)
+	const job = `{"service":"reserva","deadline_ms":60000,"tasks":[{"sleep_ms":50000}]}`
+	request := fmt.Sprintf("POST /v1/jobs HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
+		memberToken, newKey(t), len(job), job)
+	f.playWith(&proctest.Crowd{Address: f.entry.callers, Clients: 900, Bytes: func(int) io.Reader { return strings.NewReader(request) }}, func() {
+		f.eventually("another member's request is answered", func() bool {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.entry.url()+"/v1/ticket", nil)
+			f.Assert(err, qt.IsNil)
+			req.Close = true
+			req.Header.Set("Authorization", "Bearer "+crowdOtherToken)
+			client := &http.Client{Timeout: 10 * time.Second}
+			res, err := client.Do(req)
+			if err != nil {
+				return false
+			}
+			defer res.Body.Close()
+			return res.StatusCode == http.StatusOK
+		})
+		isWaiting := strings.Contains(f.getAdmin(f.entry, "/metrics"), "\nwigeontray_jobs_open 1\n")
+		f.Check(isWaiting, qt.IsTrue, qt.Commentf("the crowd's job has ended"))
+	})
+}
+
 // firstFrame returns the bytes of a client that opens a link and sends a binary message of n bytes without
 // its last one.
 func firstFrame(n int64) io.Reader {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -170,7 +170,7 @@
 	}
 	e.server = entry.New(entry.Options{
 		ID: self.Incarnation, Domain: self.Domain, FleetKey: key, Software: telemetry.Version,
-		MaxBodyBytes: e.limits.MaxBody(e.cfg.Limits.MaxBodyBytes), MaxOpenRequests: int(e.cfg.Limits.MaxOpenRequests), MaxOpenBytes: e.cfg.Limits.MaxOpenBytes,
+		MaxBodyBytes: e.limits.MaxBody(e.cfg.Limits.MaxBodyBytes), MaxOpenRequests: e.maxOpenRequests(), MaxOpenBytes: e.cfg.Limits.MaxOpenBytes,
 		Jobs: e.jobLimits(), Memory: e.budget, Seed: rand.Uint64(),
 		Config: config, Router: router, Metrics: e.metrics, Log: e.log, Records: recordsHandler,
 		OnConfigChange: router.ConfigChanged,
@@ -227,6 +227,15 @@
 	return l.Within(e.limits.Listener(use, l.MaxConnections), e.budget)
 }
 
+// memberConnectionPercent is how much of the callers' connections the requests of one member may occupy.
+const memberConnectionPercent = 40
+
+// maxOpenRequests returns the limit on one member's open requests, which leaves connections to the other members.
+func (e *Entry) maxOpenRequests() int {
+	connections := e.callerHTTPLimits().MaxConnections
+	return max(1, min(int(e.cfg.Limits.MaxOpenRequests), connections*memberConnectionPercent/100))
+}
+
 // observeLimits registers the metrics of the limits on clients.
 func (e *Entry) observeLimits() {
 	e.metrics.ReadCounter(telemetry.HandshakesFailed, func() int64 {
