Refuse texts that are too long before they are decoded

A job's text of more than 4,000 bytes, and a label or rack of any length, were decoded before they were refused or taken: a body of 1 MiB left a string of 1 MiB. Found by reading; TestTextsAreLimited. The package of limited lists is jsonlimit now.

--- a/internal/entry/submission.go
+++ b/internal/entry/submission.go
@@ -17,7 +17,7 @@
 	"wigeontray/internal/errkind"
 	"wigeontray/internal/httpserve"
 	"wigeontray/internal/jobs"
-	"wigeontray/internal/jsonlist"
+	"wigeontray/internal/jsonlimit"
 )
 
 // MaxTasks is the largest number of tasks in a job, as given by the product's
@@ -54,7 +54,7 @@
 	d.DisallowUnknownFields()
 	s := new(submission)
 	if err := d.Decode(s); err != nil {
-		if tooLong, ok := errors.AsType[*jsonlist.TooLongError](err); ok {
+		if tooLong, ok := errors.AsType[*jsonlimit.TooLongError](err); ok {
 			return nil, errkind.New(errkind.TooManyTasks, "%d tasks, at most %d", tooLong.Count, tooLong.Most)
 		}
 		return nil, errkind.New(errkind.BadRequest, "body: %w", err)
@@ -152,7 +152,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (l *taskList) UnmarshalJSON(b []byte) error {
-	return jsonlist.Unmarshal(b, (*[]json.RawMessage)(l), MaxTasks)
+	return jsonlimit.List(b, (*[]json.RawMessage)(l), MaxTasks)
 }
 
 // maxWait is used when the caller sets no limit on the wait; jobs end earlier by
--- a/internal/jsonlist/jsonlist.go
+++ b/internal/jsonlimit/jsonlimit.go
@@ -1,9 +1,9 @@
-// Package jsonlist decodes JSON arrays that must not have more than so many elements. encoding/json allocates the
-// elements of an array before anything can count them; an array of a megabyte of empty objects takes a hundred
-// megabytes.
+// Package jsonlimit decodes JSON arrays and strings of limited length. encoding/json allocates them before anything can
+// count them: an array of a megabyte of empty objects takes a hundred megabytes, and a long string that is refused
+// afterwards has become garbage.
 //
 // The package imports no other package of the project.
-package jsonlist
+package jsonlimit
 
 import (
 	"encoding/json"
@@ -20,9 +20,25 @@
 	return fmt.Sprintf("a list has %d elements, at most %d", e.Count, e.Most)
 }
 
-// Unmarshal decodes a valid JSON array, or null, into list. It fails with a *TooLongError before it allocates any
+// maxEscape is the size of the longest escape sequence of one byte of a string, \u0000.
+const maxEscape = 6
+
+// String decodes a valid JSON string, or null, of at most most bytes into s. A much longer one is refused before it is
+// allocated. It is meant to be called by UnmarshalJSON methods, whose input is valid.
+func String(b []byte, s *string, most int) error {
+	length := len(b) - len(`""`)
+	if length <= maxEscape*most {
+		if err := json.Unmarshal(b, s); err != nil || len(*s) <= most {
+			return err
+		}
+		length = len(*s)
+	}
+	return fmt.Errorf("a text has %d bytes, at most %d", length, most)
+}
+
+// List decodes a valid JSON array, or null, into list. It fails with a *TooLongError before it allocates any
 // element if there are more than most. It is meant to be called by UnmarshalJSON methods, whose input is valid.
-func Unmarshal[T any](b []byte, list *[]T, most int) error {
+func List[T any](b []byte, list *[]T, most int) error {
 	if n := count(b); n > most {
 		return &TooLongError{Count: n, Most: most}
 	}
--- a/internal/jsonlist/jsonlist_test.go
+++ b/internal/jsonlimit/jsonlimit_test.go
@@ -1,4 +1,4 @@
-package jsonlist
+package jsonlimit
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 
 type list []any
 
-func (l *list) UnmarshalJSON(b []byte) error { return Unmarshal(b, (*[]any)(l), 3) }
+func (l *list) UnmarshalJSON(b []byte) error { return List(b, (*[]any)(l), 3) }
 
 func TestListsAreCountedAsTheyAreDecoded(t *testing.T) {
 	for text, want := range map[string]int{
@@ -48,3 +48,15 @@
 		qt.Check(t, json.Unmarshal([]byte(text), &l), qt.ErrorMatches, "json: cannot unmarshal .*", qt.Commentf("%s", text))
 	}
 }
+
+func TestTextsAreLimited(t *testing.T) {
+	for text, want := range map[string]string{`""`: "", `"abc"`: "abc", `"\u0061bc"`: "abc", `"\u0061\u0062\u0063"`: "abc", `null`: ""} {
+		var s string
+		qt.Check(t, String([]byte(text), &s, 3), qt.IsNil, qt.Commentf("%s", text))
+		qt.Check(t, s, qt.Equals, want)
+	}
+	for _, text := range []string{`"abcd"`, `"` + strings.Repeat("x", 1<<20) + `"`} {
+		qt.Check(t, String([]byte(text), new(string), 3), qt.ErrorMatches, "a text has [0-9]+ bytes, at most 3")
+	}
+	qt.Check(t, String([]byte(`5`), new(string), 3), qt.IsNotNil)
+}
