--- a/internal/httpserve/body.go
+++ b/internal/httpserve/body.go
@@ -20,6 +20,7 @@
 			return
 		}
 		defer conn.account.Clear()
+		defer conn.releaseBody()
 		conn.headerArrived(headerCost(r.Header), r.ContentLength)
 		if r.ContentLength == 0 {
 			if conn.requestArrived() != nil {
@@ -75,68 +76,83 @@
 // was dropped in favour of others. The request has not been begun.
 var ErrNoMemory = errors.New("the memory for requests is used up")
 
-// firstBodyBytes is the size of the buffer for a body of unknown length.
-const firstBodyBytes = 4 << 10
-
-// ReadBody reads the body of a request, of at most limit bytes. The memory for it is reserved as it arrives,
-// until the handler returns or Release. It fails with an *http.MaxBytesError if the body is larger, and with
-// ErrNoMemory.
+// ReadBody reads the body of a request, of at most limit bytes. The memory for it is reserved as it arrives. The
+// body is valid until the handler returns or ReleaseBody; then its memory is used for others. ReadBody fails with
+// an *http.MaxBytesError if the body is larger, and with ErrNoMemory.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close") // the body is not read
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	return readAll(r, http.MaxBytesReader(w, r.Body, limit), limit)
+	from := http.MaxBytesReader(w, r.Body, limit)
+	conn := connOf(r)
+	if conn == nil {
+		return io.ReadAll(from)
+	}
+	most := limit
+	if r.ContentLength >= 0 {
+		most = r.ContentLength
+	}
+	err := conn.readBody(from, most)
+	switch {
+	case err == nil:
+		return conn.body, nil
+	case conn.wasEvicted():
+		err = ErrNoMemory
+	}
+	conn.releaseBody()
+	return nil, err
 }
 
-func readAll(r *http.Request, from io.Reader, limit int64) ([]byte, error) {
-	size := r.ContentLength + 1 // one more, so that the end is read without growing
-	if r.ContentLength < 0 || r.ContentLength > membudget.FreeBytes/2 {
-		size = firstBodyBytes
-	}
-	if err := Reserve(r, size); err != nil {
-		return nil, err
+// ReleaseBody releases the body of a request before its handler returns.
+func ReleaseBody(r *http.Request) {
+	if conn := connOf(r); conn != nil {
+		conn.releaseBody()
 	}
-	buf := make([]byte, 0, size)
+}
+
+// readBody reads at most so many bytes into the buffer of the connection.
+func (c *limitedConn) readBody(from io.Reader, most int64) error {
 	for {
-		n, err := from.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
+		if len(c.body) == cap(c.body) {
+			if err := c.growBody(most); err != nil {
+				return err
+			}
+		}
+		n, err := from.Read(c.body[len(c.body):cap(c.body)])
+		c.body = c.body[:len(c.body)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			return buf, nil
+			return nil
 		case err != nil:
-			return nil, abandonBody(r, int64(cap(buf)), err)
-		case len(buf) < cap(buf):
-			continue
-		}
-		if buf, err = growBody(r, buf, limit); err != nil {
-			return nil, abandonBody(r, int64(cap(buf)), err)
+			return err
 		}
 	}
 }
 
-// growBody returns a copy of a full buffer with more room. After an error it returns the buffer.
-func growBody(r *http.Request, buf []byte, limit int64) ([]byte, error) {
-	size := min(2*int64(cap(buf)), limit+1)
-	if r.ContentLength > 0 {
-		size = min(size, r.ContentLength+1)
-	}
-	if conn := connOf(r); conn != nil && conn.account.Replace(int64(cap(buf)), size) != nil {
-		return buf, ErrNoMemory
+// growBody replaces the buffer of the connection by one of about twice the size. One that holds most bytes has room
+// for one more, so that the end is read without growing.
+func (c *limitedConn) growBody(most int64) error {
+	before := c.body
+	size := min(membudget.NextBufferSize(int64(cap(before))), membudget.BufferSize(most+1))
+	if c.account.Replace(int64(cap(before)), size) != nil {
+		return ErrNoMemory
 	}
-	larger := append(make([]byte, 0, size), buf...)
-	Release(r, int64(cap(buf)))
-	return larger, nil
+	c.body = append(membudget.NewBuffer(size), before...)
+	membudget.FreeBuffer(before)
+	c.account.Shrink(int64(cap(before)))
+	return nil
 }
 
-// abandonBody releases the buffer of a body that could not be read.
-func abandonBody(r *http.Request, size int64, err error) error {
-	Release(r, size)
-	conn := connOf(r)
-	if conn != nil && conn.wasEvicted() {
-		return ErrNoMemory
+// releaseBody releases the buffer of the connection.
+func (c *limitedConn) releaseBody() {
+	if c.body == nil {
+		return
 	}
-	return err
+	size := int64(cap(c.body))
+	membudget.FreeBuffer(c.body)
+	c.body = nil
+	c.account.Shrink(size)
 }
 
 // Reserve reserves memory for what a request is decoded to, until its handler returns or Release. It fails
--- a/internal/httpserve/limitedconn.go
+++ b/internal/httpserve/limitedconn.go
@@ -42,6 +42,7 @@
 	releaseOnce        sync.Once
 	handshakeOnce      sync.Once
 	handshakeErr       error
+	body               []byte // of the request that is being served; used by its handler
 
 	// mu guards the fields below. Lock order: mu, then the lock of the budget, then deadlineMu.
 	mu         sync.Mutex
--- a/internal/recordapi/recordapi.go
+++ b/internal/recordapi/recordapi.go
@@ -16,6 +16,7 @@
 package recordapi
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -228,7 +229,8 @@
 	if err != nil {
 		return err
 	}
-	revision, err := h.Sync.PutWithWriteID(r.Context(), id, kind, name, value, expected)
+	// The record is kept, and the memory of the body is used for others.
+	revision, err := h.Sync.PutWithWriteID(r.Context(), id, kind, name, bytes.Clone(value), expected)
 	if err != nil {
 		return err
 	}
