membudget: a closed connection's account cannot grow

Found by reading: a header that waited for memory while its connection was closed, at the limit on connections, charged its bytes afterwards, and nothing released them. Each such case would have made the budget smaller for good. TestClosedAccountCannotGrow. Closing an account makes a Grow that waits, and later ones, fail.

--- a/internal/httpserve/limitedconn.go
+++ b/internal/httpserve/limitedconn.go
@@ -269,7 +269,7 @@
 
 func (c *limitedConn) release() {
 	c.releaseOnce.Do(func() {
-		c.account.Clear()
+		c.account.Close()
 		c.listener.forget(c)
 		c.listener.open.Add(-1)
 		c.listener.releaseSlot()
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -200,6 +200,19 @@
 	a.budget.set(a, 0)
 }
 
+// Close releases all bytes of a connection that is closed. A Grow that waits, and later ones, fail with ErrEvicted:
+// nothing would release what they charge.
+func (a *Account) Close() {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.isEvicted, a.isEvictable = true, false
+	a.budget.set(a, 0)
+	a.budget.released.Broadcast()
+}
+
 // chargeable returns the part of held bytes that is charged to the budget.
 func (a *Account) chargeable(held int64) int64 { return max(0, held-a.free) }
 
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -126,6 +126,23 @@
 	})
 }
 
+// Guards against bytes that nobody releases: a connection is closed while its request waits for memory.
+func TestClosedAccountCannotGrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(mib)
+		large, small := newClient(b), newClient(b)
+		qt.Assert(t, large.Grow(FreeBytes+mib), qt.IsNil)
+		result := make(chan error, 1)
+		go func() { result <- small.Grow(FreeBytes + kib) }()
+		synctest.Wait()
+		small.Close()
+		qt.Check(t, <-result, qt.Equals, ErrEvicted)
+		large.Clear()
+		qt.Check(t, small.Grow(FreeBytes+kib), qt.Equals, ErrEvicted)
+		qt.Check(t, b.Stats().Charged, qt.Equals, int64(0))
+	})
+}
+
 // Guards against a budget that is exceeded, leaks, or blocks a client for good, for any order of clients' actions.
 func TestBudgetHoldsForAnyOrderOfClients(t *testing.T) {
 	for seed := range uint64(200) {
