node: the Go runtime may take 70% of a process's memory

Cause: the setting memory_bytes was the limit of the runtime alone. The runtime does not count the binary and other mappings, about 10 MB by estimate, and lets garbage grow up to its limit.

--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -9,11 +9,15 @@
 	"wigeontray/internal/settings"
 )
 
+// heapPercent is how much of a process's memory the Go runtime may take before it collects garbage all the time. The
+// rest is for what the runtime does not count, such as the binary.
+const heapPercent = 70
+
 // setMemoryLimit applies a process's memory limit from the settings, unless
 // GOMEMLIMIT is set.
 func setMemoryLimit(bytes int64) {
 	if bytes < settings.NoMemoryLimit && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(bytes)
+		debug.SetMemoryLimit(bytes * heapPercent / 100)
 	}
 }
 
