membudget: one reader of charged buffers for bodies and frames

The loops that read a body and a frame into a buffer that grows under the budget were written twice. Account.ReadAll serves both; a frame's buffer stops at MaxFrame, which its reader enforced before.

--- a/internal/httpserve/body.go
+++ b/internal/httpserve/body.go
@@ -93,15 +93,15 @@
 	if r.ContentLength >= 0 {
 		most = r.ContentLength
 	}
-	err := conn.readBody(from, most)
-	switch {
-	case err == nil:
-		return conn.body, nil
-	case conn.wasEvicted():
-		err = ErrNoMemory
+	body, err := conn.account.ReadAll(from, most)
+	if err != nil {
+		if conn.wasEvicted() || errors.Is(err, membudget.ErrExhausted) || errors.Is(err, membudget.ErrEvicted) {
+			err = ErrNoMemory
+		}
+		return nil, err
 	}
-	conn.releaseBody()
-	return nil, err
+	conn.body = body
+	return body, nil
 }
 
 // ReleaseBody releases the body of a request before its handler returns.
@@ -111,39 +111,6 @@
 	}
 }
 
-// readBody reads at most so many bytes into the buffer of the connection.
-func (c *limitedConn) readBody(from io.Reader, most int64) error {
-	for {
-		if len(c.body) == cap(c.body) {
-			if err := c.growBody(most); err != nil {
-				return err
-			}
-		}
-		n, err := from.Read(c.body[len(c.body):cap(c.body)])
-		c.body = c.body[:len(c.body)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return err
-		}
-	}
-}
-
-// growBody replaces the buffer of the connection by one of about twice the size. One that holds most bytes has room
-// for one more, so that the end is read without growing.
-func (c *limitedConn) growBody(most int64) error {
-	before := c.body
-	size := min(membudget.NextBufferSize(int64(cap(before))), membudget.BufferSize(most+1))
-	if c.account.Replace(int64(cap(before)), size) != nil {
-		return ErrNoMemory
-	}
-	c.body = append(membudget.NewBuffer(size), before...)
-	membudget.FreeBuffer(before)
-	c.account.Shrink(int64(cap(before)))
-	return nil
-}
-
 // releaseBody releases the buffer of the connection.
 func (c *limitedConn) releaseBody() {
 	if c.body == nil {
--- a/internal/membudget/buffer.go
+++ b/internal/membudget/buffer.go
@@ -1,6 +1,8 @@
 package membudget
 
 import (
+	"errors"
+	"io"
 	"math/bits"
 	"sync"
 )
@@ -52,3 +54,48 @@
 		buffers[bufferClass(size)].Put(&b)
 	}
 }
+
+// ReadAll reads at most so many bytes into a buffer, whose memory is charged to the account as it grows. It returns
+// ErrExhausted or ErrEvicted if there is no memory, or the error of r; nothing is charged then. The buffer is released
+// with FreeBuffer, and its capacity with Shrink or Clear.
+func (a *Account) ReadAll(r io.Reader, most int64) ([]byte, error) {
+	var buf []byte
+	for {
+		if len(buf) == cap(buf) {
+			larger, err := a.growBuffer(buf, most)
+			if err != nil {
+				a.releaseBuffer(buf)
+				return nil, err
+			}
+			buf = larger
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return buf, nil
+		case err != nil:
+			a.releaseBuffer(buf)
+			return nil, err
+		}
+	}
+}
+
+// growBuffer returns a buffer of about twice the size in place of buf. One that holds most bytes has room for one
+// more, so that the end is read without growing.
+func (a *Account) growBuffer(buf []byte, most int64) ([]byte, error) {
+	before := int64(cap(buf))
+	size := min(NextBufferSize(before), BufferSize(most+1))
+	if err := a.Replace(before, size); err != nil {
+		return nil, err
+	}
+	larger := append(NewBuffer(size), buf...)
+	a.releaseBuffer(buf)
+	return larger, nil
+}
+
+// releaseBuffer releases a buffer and its memory.
+func (a *Account) releaseBuffer(buf []byte) {
+	FreeBuffer(buf)
+	a.Shrink(int64(cap(buf)))
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -128,13 +128,13 @@
 // receiveFrame reads and decodes one frame. It takes its buffer only now that a frame has begun to
 // arrive: an idle link would keep a buffer as large as the longest frame before it.
 func (l *socketLink) receiveFrame(r io.Reader) (*Frame, error) {
-	buf, err := l.readFrame(r)
 	defer l.memory.Clear()
-	defer membudget.FreeBuffer(buf) // decoding copies
+	buf, err := l.readFrame(r)
 	if err != nil {
 		l.Close("read failed")
 		return nil, fmt.Errorf("read link: %w", err)
 	}
+	defer membudget.FreeBuffer(buf) // decoding copies
 	l.peerLiveness.recordReceive()
 	l.traffic.FramesIn.Add(1)
 	l.traffic.BytesIn.Add(int64(len(buf)))
@@ -146,31 +146,14 @@
 	return f, nil
 }
 
-// readFrame reads a frame into a buffer, which it returns also after an error. The memory of the buffer is charged to
-// the link as it grows.
+// readFrame reads a frame into a buffer, whose memory is charged to the link.
 func (l *socketLink) readFrame(r io.Reader) ([]byte, error) {
 	l.memory.Begin()
-	var buf []byte
-	for {
-		if len(buf) == cap(buf) {
-			size := membudget.NextBufferSize(int64(cap(buf)))
-			if err := l.memory.Replace(int64(cap(buf)), size); err != nil {
-				return buf, err
-			}
-			larger := append(membudget.NewBuffer(size), buf...)
-			membudget.FreeBuffer(buf)
-			l.memory.Shrink(int64(cap(buf)))
-			buf = larger
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return buf, l.memory.Complete()
-		case err != nil:
-			return buf, fmt.Errorf("read frame: %w", err)
-		}
+	buf, err := l.memory.ReadAll(r, MaxFrame)
+	if err != nil {
+		return nil, err
 	}
+	return buf, l.memory.Complete()
 }
 
 func (l *socketLink) Close(reason string) {
