httpserve: the end of a header is found when its last line arrives in two parts

What callers saw: nothing; a body was charged as if its lines were fields, until the handler began, when the empty line's CR and LF were received by different reads.

Cause: the byte before the LF was looked for in the newer part only.

Evidence: TestEndOfHeaderIsFoundInAnySplit is red on the code before at that one split (38) and green at all others; green at all now. Found on reading the change.

--- a/internal/httpserve/header.go
+++ b/internal/httpserve/header.go
@@ -17,6 +17,7 @@
 // headerMeter estimates the memory of a header that arrives.
 type headerMeter struct {
 	lineBytes int   // received of the current line
+	lastByte  byte  // of these
 	hasEnded  bool  // the empty line has arrived
 	bytes     int64 // received of the header
 	cost      int64 // memory, in bytes
@@ -28,12 +29,14 @@
 	for len(p) > 0 && !m.hasEnded {
 		end := bytes.IndexByte(p, '\n')
 		if end < 0 {
-			m.lineBytes += len(p)
+			m.lineBytes, m.lastByte = m.lineBytes+len(p), p[len(p)-1]
 			m.add(len(p), 0)
 			break
 		}
-		isEmpty := m.lineBytes+end == 0 || m.lineBytes+end == 1 && p[max(0, end-1)] == '\r'
-		if isEmpty {
+		if end > 0 {
+			m.lastByte = p[end-1]
+		}
+		if length := m.lineBytes + end; length == 0 || length == 1 && m.lastByte == '\r' {
 			m.hasEnded = true
 			m.add(end+1, 0)
 			break
--- a/internal/httpserve/limits_test.go
+++ b/internal/httpserve/limits_test.go
@@ -131,6 +131,19 @@
 	qt.Check(t, cost, qt.Equals, int64(len(request)+4*fieldCost))
 }
 
+// Guards against a body whose lines are charged as fields of a header, or a header whose fields are not, for any split of
+// the bytes among reads.
+func TestEndOfHeaderIsFoundInAnySplit(t *testing.T) {
+	const header, body = "GET / HTTP/1.1\r\nHost: a\r\n \n b\r\nX: y\r\n\r\n", "\n{}\n\r\n\r\nmore\n"
+	for i := range len(header + body) {
+		var m headerMeter
+		m.consume([]byte((header + body)[:i]))
+		m.consume([]byte((header + body)[i:]))
+		qt.Check(t, m.bytes, qt.Equals, int64(len(header)), qt.Commentf("split at %d", i))
+		qt.Check(t, m.cost, qt.Equals, int64(len(header)+5*fieldCost), qt.Commentf("split at %d", i))
+	}
+}
+
 // Guards against clients that keep all connections open without a request and keep others out.
 func TestWaitingConnectionsAreClosedForNewOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
