--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -42,7 +42,7 @@
 // Budget is the memory for the requests of one process. A nil Budget sets no limit.
 type Budget struct {
 	mu        sync.Mutex
-	released  *sync.Cond // signalled when charged or the state of an account changes
+	released  *sync.Cond // signalled when bytes are released or an account is evicted
 	capacity  int64      // bytes
 	charged   int64      // bytes of all accounts beyond their free ones
 	evictions int64
@@ -123,7 +123,6 @@
 		return ErrEvicted
 	}
 	a.isEvictable = false
-	a.budget.released.Broadcast() // accounts that waited to evict it have to choose another one
 	return nil
 }
 
@@ -165,16 +164,6 @@
 	a.budget.set(a, max(0, a.held-n))
 }
 
-// Held returns the number of charged bytes, including the free ones.
-func (a *Account) Held() int64 {
-	if a == nil {
-		return 0
-	}
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	return a.held
-}
-
 // contextKey is the context key of an account.
 type contextKey struct{}
 
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -23,8 +23,8 @@
 }
 
 // leaveWhenEvicted releases the bytes of an evicted client, as its handler does.
-func (c *client) leaveWhenEvicted(b *Budget) {
-	if c.isInterrupted && c.Held() > 0 {
+func (c *client) leaveWhenEvicted() {
+	if c.isInterrupted {
 		c.Clear()
 	}
 }
@@ -76,7 +76,7 @@
 	qt.Assert(t, second.Grow(FreeBytes+mib/2), qt.IsNil)
 	qt.Check(t, second.Grow(1), qt.Equals, ErrExhausted)
 	qt.Check(t, first.isInterrupted, qt.IsFalse)
-	qt.Check(t, second.Held(), qt.Equals, int64(FreeBytes+mib/2))
+	qt.Check(t, second.held, qt.Equals, int64(FreeBytes+mib/2))
 }
 
 // Guards against clients that stop just before the end and keep out a request that is as large as theirs.
@@ -91,7 +91,7 @@
 		newcomer.Begin()
 		go func() {
 			synctest.Wait()
-			slow.leaveWhenEvicted(b)
+			slow.leaveWhenEvicted()
 		}()
 		qt.Check(t, newcomer.Grow(FreeBytes+900*kib), qt.IsNil)
 		qt.Check(t, slow.isInterrupted, qt.IsTrue)
