batch: a job knows the memory that it needs

The estimate stood in platform/, which translates and decides nothing. A dependency is counted with 8 bytes instead of the 24 that it takes while it is decoded; the estimate of decoding keeps those.

--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -62,6 +62,23 @@
 	Deadline time.Duration // time at which the caller stops waiting
 }
 
+// Memory of the parts of a job at an entry, in bytes, without texts.
+const (
+	stepMemory       = 256
+	dependencyMemory = 8
+	taskMemory       = 256
+)
+
+// Memory returns about how much memory an entry needs for the job until it has been answered, in bytes.
+func (j *Job) Memory() int64 {
+	size := 2 * len(j.Text) // also in compressed form
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		size += stepMemory + len(s.Label) + len(s.Rack) + dependencyMemory*len(s.After) + taskMemory*s.Count
+	}
+	return int64(size)
+}
+
 // Outcome is the single answer to a job, which is complete if Err is nil. An error
 // with RanNo means that no task of the job was started.
 type Outcome struct {
