Log when the limits on clients act, and count them in one place

Operators saw counters, and nothing in the log. limitwatch registers the four metrics and writes a line, at most one in 5 s (TestLimitsAreLoggedAtALimitedRate); the test of documented log fields reads its package too. It costs nothing while no limit acts. The budget counts the connections that were closed for new ones, so that the servers need not be summed up; the platform's and the product's process had each registered the same metrics.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -112,9 +112,6 @@
 // HandshakesFailed returns the number of connections that failed in their TLS handshake.
 func (s *Server) HandshakesFailed() int64 { return s.listener.handshakesFailed.Load() }
 
-// ConnectionsEvicted returns the number of connections that were closed in favour of new ones.
-func (s *Server) ConnectionsEvicted() int64 { return s.listener.evicted.Load() }
-
 // Serve accepts requests until Stop or Close, and returns nil after either.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.listener)
--- a/internal/httpserve/listener.go
+++ b/internal/httpserve/listener.go
@@ -22,7 +22,6 @@
 	budget           *membudget.Budget
 	slots            chan struct{} // one element for each open connection, and one for the next; nil without a limit
 	open             atomic.Int64
-	evicted          atomic.Int64
 	handshakesFailed atomic.Int64
 	closed           chan struct{}
 	once             sync.Once
@@ -119,7 +118,7 @@
 			return
 		}
 		if c.abortUnlessReceiving() {
-			l.evicted.Add(1)
+			l.budget.CountConnection()
 			return
 		}
 		skipped[c] = true
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -47,7 +47,10 @@
 	charged   int64      // bytes of all accounts beyond their free ones
 	evictions int64
 	refusals  int64
-	accounts  map[*Account]struct{} // those with charged bytes
+	// connections is the number of connections that were closed for new ones.
+	connections int64
+	accounts    map[*Account]struct{} // those with charged bytes
+	onLimit     func()                // called when a limit acts; nil for none
 }
 
 // New returns a budget of so many bytes.
@@ -59,15 +62,39 @@
 
 // Stats is the state of a budget.
 type Stats struct {
-	Capacity, Charged   int64 // bytes
-	Evictions, Refusals int64 // of requests, since the start of the process
+	Capacity, Charged int64 // bytes
+	// Since the start of the process: requests that were evicted or refused, and connections that were closed for
+	// new ones.
+	Evictions, Refusals, Connections int64
 }
 
 // Stats returns the state of the budget.
 func (b *Budget) Stats() Stats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Stats{Capacity: b.capacity, Charged: b.charged, Evictions: b.evictions, Refusals: b.refusals}
+	return Stats{Capacity: b.capacity, Charged: b.charged, Evictions: b.evictions, Refusals: b.refusals, Connections: b.connections}
+}
+
+// OnLimit sets a function that is called when a limit acts: a request is evicted or refused, or a connection is closed
+// for a new one. It must not block or use the budget. OnLimit must be called before the budget is used.
+func (b *Budget) OnLimit(f func()) { b.onLimit = f }
+
+// CountConnection counts a connection that was closed for a new one.
+func (b *Budget) CountConnection() {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.connections++
+	b.limitActed()
+}
+
+// limitActed calls onLimit. mu must be held.
+func (b *Budget) limitActed() {
+	if b.onLimit != nil {
+		b.onLimit()
+	}
 }
 
 // Account is the memory of one connection's request. Its methods are safe for concurrent use. A nil
@@ -148,6 +175,7 @@
 			return nil
 		case !b.makeRoom(a, need, a.held+n-before):
 			b.refusals++
+			b.limitActed()
 			return ErrExhausted
 		}
 		b.released.Wait()
@@ -250,6 +278,7 @@
 	}
 	if count > 0 {
 		b.released.Broadcast() // an evicted account may itself be waiting
+		b.limitActed()
 	}
 	return true
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -21,6 +21,7 @@
 	"wigeontray/internal/httpserve"
 	"wigeontray/internal/identity"
 	"wigeontray/internal/jobs"
+	"wigeontray/internal/limitwatch"
 	"wigeontray/internal/membudget"
 	"wigeontray/internal/pause"
 	"wigeontray/internal/peers"
@@ -83,6 +84,7 @@
 		return nil, err
 	}
 	e := &Entry{cfg: cfg, log: logger, metrics: telemetry.New(), fenced: make(chan struct{}), limits: limits, budget: budget}
+	limitwatch.Start(budget, e.metrics, logger)
 	registry := e.metrics.GoMetrics()
 	kv := store.NewEtcd(store.Options{
 		Endpoints: cfg.Store.Endpoints, Timeout: cfg.Store.Timeout,
@@ -139,10 +141,10 @@
 	if e.callers, err = httpserve.Listen(e.cfg.Callers, e.server.Handler(), callersTLS, e.callerHTTPLimits()); err != nil {
 		return err
 	}
+	e.metrics.ReadCounter(telemetry.HandshakesFailed, func() int64 {
+		return e.inner.HandshakesFailed() + e.callers.HandshakesFailed()
+	})
 	e.admin, err = httpserve.Listen(e.cfg.Admin, e.server.AdminHandler(), nil, e.limitsFor(proclimit.Internal, httpserve.DefaultLimits()))
-	if err == nil {
-		e.observeLimits()
-	}
 	return err
 }
 
@@ -236,19 +238,6 @@
 	return max(1, min(int(e.cfg.Limits.MaxOpenRequests), connections*memberConnectionPercent/100))
 }
 
-// observeLimits registers the metrics of the limits on clients.
-func (e *Entry) observeLimits() {
-	e.metrics.ReadCounter(telemetry.HandshakesFailed, func() int64 {
-		return e.inner.HandshakesFailed() + e.callers.HandshakesFailed()
-	})
-	e.metrics.ReadCounter(telemetry.ConnectionsEvicted, func() int64 {
-		return e.inner.ConnectionsEvicted() + e.callers.ConnectionsEvicted() + e.admin.ConnectionsEvicted()
-	})
-	e.metrics.ReadGauge(telemetry.RequestBytes, func() int64 { return e.budget.Stats().Charged })
-	e.metrics.ReadCounter(telemetry.RequestsEvicted, func() int64 { return e.budget.Stats().Evictions })
-	e.metrics.ReadCounter(telemetry.RequestsOverMemory, func() int64 { return e.budget.Stats().Refusals })
-}
-
 func (e *Entry) jobLimits() jobs.Limits {
 	l := jobs.DefaultLimits()
 	l.Retention = e.cfg.Limits.Retention
--- a/internal/pages/logs_test.go
+++ b/internal/pages/logs_test.go
@@ -20,7 +20,7 @@
 func TestLogFieldsAreDocumented(t *testing.T) {
 	c := qt.New(t)
 	var used []string
-	for _, dir := range []string{"internal/batchnode", "platform"} {
+	for _, dir := range []string{"internal/batchnode", "internal/limitwatch", "platform"} {
 		for _, f := range parseDir(c, dir) {
 			ast.Inspect(f, func(n ast.Node) bool {
 				if call, ok := n.(*ast.CallExpr); ok {
