--- a/internal/limitwatch/limitwatch.go
+++ b/internal/limitwatch/limitwatch.go
@@ -21,7 +21,8 @@
 	budget *membudget.Budget
 	log    *log.Logger
 
-	logged membudget.Stats // used by write only
+	writeMu sync.Mutex // serialises write; lock order: writeMu, then the lock of the budget, then mu
+	logged  membudget.Stats
 
 	mu        sync.Mutex
 	isPending bool // a line is scheduled
@@ -51,9 +52,11 @@
 }
 
 func (w *watch) write() {
+	w.writeMu.Lock()
+	defer w.writeMu.Unlock()
 	w.mu.Lock()
 	w.isPending, w.loggedAt = false, time.Now()
-	w.mu.Unlock() // the lock of the budget is taken before this one
+	w.mu.Unlock()
 	stats := w.budget.Stats()
 	w.log.Warn("limits on clients act", "requests_evicted", stats.Evictions-w.logged.Evictions, "requests_refused", stats.Refusals-w.logged.Refusals,
 		"connections_closed", stats.Connections-w.logged.Connections, "request_bytes", stats.Charged)
