--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -1,10 +1,12 @@
 package e2e
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -177,6 +179,38 @@
 	})
 }
 
+// Guards against a submission within the limits that is refused although nothing else is sent.
+func TestLargestSubmissionIsServedInCalm(t *testing.T) {
+	f := newCrowdFleet(t)
+	const begin, end = `{"service":"reserva","tasks":[{"sleep_ms":1}`, `]}`
+	padding := strings.Repeat(" ", crowdMaxBody-len(begin)-len(end))
+	body := begin + padding + end
+	head := func(header string) string {
+		return fmt.Sprintf("POST /v1/jobs HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\n%s\r\n\r\n", memberToken, newKey(t), header)
+	}
+	chunk := func(size int) string { return fmt.Sprintf("%x\r\n%s\r\n", size, padding[:size]) }
+	chunked := func(size int) string {
+		return fmt.Sprintf("%x\r\n%s\r\n", len(begin), begin) + strings.Repeat(chunk(size), len(padding)/size-1) + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(end), end)
+	}
+	for i, k := range []struct {
+		pieceBytes int
+		request    string
+	}{
+		{0, head(fmt.Sprintf("Content-Length: %d", len(body))) + body},
+		{100, head(fmt.Sprintf("Content-Length: %d", len(body))) + body},
+		{0, head("Transfer-Encoding: chunked") + chunked(64<<10)},
+		{0, head("Transfer-Encoding: chunked") + chunked(16)},
+	} {
+		conn, err := net.Dial("tcp", f.entry.callers)
+		f.Assert(err, qt.IsNil)
+		defer conn.Close()
+		f.Assert(proctest.Copy(conn, strings.NewReader(k.request), k.pieceBytes), qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		f.Assert(err, qt.IsNil)
+		f.Check(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("request %d", i))
+	}
+}
+
 // Guards against a member whose requests wait for an answer on all connections of an entry, so that other members
 // cannot connect.
 func TestCrowdOfWaitingRequests(t *testing.T) {
--- a/internal/proctest/crowd.go
+++ b/internal/proctest/crowd.go
@@ -47,11 +47,16 @@
 	c.mu.Unlock()
 	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10) // responses that are not read stay with the process
 	_ = conn.SetWriteDeadline(time.Now().Add(crowdWriteTimeout))
-	var to io.Writer = conn
-	if c.PieceBytes > 0 {
-		to = &pieceWriter{Writer: conn, size: c.PieceBytes}
+	_ = Copy(conn, c.Bytes(client), c.PieceBytes) // fails if the process closes the connection, which is allowed
+}
+
+// Copy writes all that it reads, in writes of pieceBytes; 0 for the size that io.Copy chooses.
+func Copy(to io.Writer, from io.Reader, pieceBytes int) error {
+	if pieceBytes > 0 {
+		to = &pieceWriter{Writer: to, size: pieceBytes}
 	}
-	_, _ = io.Copy(to, c.Bytes(client)) // fails if the process closes the connection, which is allowed
+	_, err := io.Copy(to, from)
+	return err
 }
 
 func (c *Crowd) close() {
