--- a/internal/proclimit/proclimit_test.go
+++ b/internal/proclimit/proclimit_test.go
@@ -15,6 +15,7 @@
 		{Memory: 284 << 20, Descriptors: 4100}, {Memory: 1048 << 20, Descriptors: 16_384}, {Memory: 64 << 30, Descriptors: 1 << 20},
 	} {
 		callers, links, internal := p.Listener(Callers, 10_000), p.Listener(Links, 10_000), p.Listener(Internal, 10_000)
+		t.Logf("%d MB, %d descriptors: callers %+v, links %+v, others %+v, content %d MB", p.Memory>>20, p.Descriptors, callers, links, internal, p.Memory/contentDivisor>>20)
 		sockets := callers.Connections + links.Connections + 2*internal.Connections
 		qt.Check(t, int64(sockets) <= p.Descriptors-p.reservedDescriptors(), qt.IsTrue, qt.Commentf("%+v: %d sockets", p, sockets))
 		memory := p.NewBudget().Stats().Capacity
