--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -175,7 +173,7 @@
 	}
 	t.Run("first frames without their last byte", func(t *testing.T) {
 		f := newCrowdFleet(t)
-		f.play(&proctest.Crowd{Address: f.entry.inner, Clients: 64, Bytes: func(int) io.Reader { return firstFrame(8 << 20) }})
+		f.play(&proctest.Crowd{Address: f.entry.inner, Clients: 64, Bytes: func(int) io.Reader { return proctest.FirstFrame(wire.GuardPath, 8<<20) }})
 	})
 }
 
@@ -236,12 +234,3 @@
 		f.Check(isWaiting, qt.IsTrue, qt.Commentf("the crowd's job has ended"))
 	})
 }
-
-// firstFrame returns the bytes of a client that opens a link and sends a binary message of n bytes without
-// its last one.
-func firstFrame(n int64) io.Reader {
-	const upgrade = "GET " + wire.GuardPath + " HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
-		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
-	header := binary.BigEndian.AppendUint64([]byte{0x82, 0x80 | 127}, uint64(n))
-	return io.MultiReader(strings.NewReader(upgrade), bytes.NewReader(append(header, 0, 0, 0, 0)), proctest.Repeat("p", n-1))
-}
--- a/internal/proctest/crowd.go
+++ b/internal/proctest/crowd.go
@@ -1,9 +1,12 @@
 package proctest
 
 import (
+	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -117,6 +120,20 @@
 	return Repeat(chunk, n/int64(chunkBytes)*int64(len(chunk)))
 }
 
+// Upgrade returns the request of a client that opens a link at a path.
+func Upgrade(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
+		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+}
+
+// FirstFrame returns the bytes of a client that opens a link and sends a binary message of n bytes without its last
+// one.
+func FirstFrame(path string, n int64) io.Reader {
+	header := binary.BigEndian.AppendUint64([]byte{0x82, 0x80 | 127}, uint64(n))
+	header = append(header, 0, 0, 0, 0) // the mask
+	return io.MultiReader(strings.NewReader(Upgrade(path)), bytes.NewReader(header), Repeat("p", n-1))
+}
+
 // Watch records the largest use that a process makes of sockets and of the kernel's buffers.
 type Watch struct {
 	process *Process
